Lay out the shared packages, the inner protocol schema and the design

Cause: the programs need common ids, units, errors, settings, logs and interfaces before they can be written side by side. Change: base, settings, observe, daemon and an in-memory object store are implemented; net, wire, platform and sheet have their interfaces; the design page states the requirements, the owners of state and the failure table.

--- /dev/null
+++ b/cmake/poplar.cmake
@@ -0,0 +1,34 @@
+# poplar_library(NAME SOURCES... LINK targets...)
+function(poplar_library name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LINK" ${ARGN})
+  add_library(poplar_${name} STATIC ${arg_SOURCES})
+  target_link_libraries(poplar_${name} PUBLIC ${arg_LINK} Threads::Threads)
+endfunction()
+
+# poplar_program(NAME SOURCES... LINK targets...): one binary in build/bin.
+function(poplar_program name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${name} ${arg_SOURCES})
+  target_link_libraries(${name} PRIVATE ${arg_LINK} Threads::Threads)
+  set_target_properties(
+    ${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+# poplar_test(NAME SOURCES... LINK targets... TIMEOUT seconds): one GoogleTest
+# binary, run by ctest as a whole.
+function(poplar_test name)
+  cmake_parse_arguments(arg "" "TIMEOUT" "SOURCES;LINK" ${ARGN})
+  if(NOT arg_TIMEOUT)
+    set(arg_TIMEOUT 120)
+  endif()
+  add_executable(${name} ${arg_SOURCES})
+  target_link_libraries(
+    ${name} PRIVATE ${arg_LINK} rapidcheck GTest::gtest GTest::gtest_main
+                    Threads::Threads)
+  set_target_properties(
+    ${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(
+    ${name} PROPERTIES TIMEOUT ${arg_TIMEOUT} ENVIRONMENT
+                       "POPLAR_BIN=${CMAKE_BINARY_DIR}/bin")
+endfunction()
--- /dev/null
+++ b/observe/log.cpp
@@ -0,0 +1,123 @@
+#include "observe/log.hpp"
+
+#include "base/error.hpp"
+#include "base/time.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace poplar::observe
+{
+
+namespace
+{
+
+std::atomic<bool> log_is_started{false};
+std::atomic<severity> lowest_severity{severity::info};
+std::string program_name;
+
+const char* level_name(severity level)
+{
+    switch (level)
+    {
+    case severity::debug:
+        return "debug";
+    case severity::info:
+        return "info";
+    case severity::warning:
+        return "warning";
+    case severity::error:
+        return "error";
+    }
+    return "error";
+}
+
+std::string make_line(const event_description& d,
+                      const std::vector<field>& fields)
+{
+    nlohmann::ordered_json line;
+    line["time"] = utc_text(unix_seconds());
+    line["level"] = level_name(d.level);
+    line["event"] = static_cast<unsigned>(d.number);
+    line["name"] = d.name;
+    line["program"] = program_name;
+    for (const field& f : fields)
+        line[f.name] = f.value;
+    return line.dump(-1, ' ', false,
+                     nlohmann::ordered_json::error_handler_t::replace);
+}
+
+} // namespace
+
+const std::vector<event_description>& event_catalogue()
+{
+    static const std::vector<event_description> catalogue{
+#define POPLAR_EVENT(NUMBER, NAME, SEVERITY, MEANING)                          \
+    {event::NAME, #NAME, severity::SEVERITY, MEANING},
+#include "observe/events.def"
+#undef POPLAR_EVENT
+    };
+    return catalogue;
+}
+
+const event_description& describe(event e)
+{
+    const auto& all = event_catalogue();
+    return *std::ranges::find(all, e, &event_description::number);
+}
+
+field::field(std::string field_name, std::string text)
+    : name(std::move(field_name)), value(std::move(text))
+{
+}
+
+field::field(std::string field_name, const char* text)
+    : name(std::move(field_name)), value(text)
+{
+}
+
+void start_log(const std::string& program, log_options options)
+{
+    program_name = program;
+    lowest_severity = options.lowest;
+    if (!log_is_started.exchange(true))
+        boost::log::add_console_log(std::clog);
+}
+
+void log(event e, const std::vector<field>& fields)
+{
+    const event_description& d = describe(e);
+    if (!log_is_started || d.level < lowest_severity)
+        return;
+    thread_local boost::log::sources::severity_logger<severity> logger;
+    auto record = logger.open_record(boost::log::keywords::severity = d.level);
+    if (!record)
+        return;
+    boost::log::record_ostream out(record);
+    out << make_line(d, fields);
+    out.flush();
+    logger.push_record(std::move(record));
+}
+
+severity parse_severity(const std::string& text)
+{
+    if (text == "debug")
+        return severity::debug;
+    if (text == "info")
+        return severity::info;
+    if (text == "warning")
+        return severity::warning;
+    if (text == "error")
+        return severity::error;
+    throw parse_error("not a log level: " + text);
+}
+
+} // namespace poplar::observe
