--- /dev/null
+++ b/policy/work.hpp
@@ -0,0 +1,75 @@
+/// Quantities that all decision modules share.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "base/units.hpp"
+#include "sheet/sheet.hpp"
+
+#include <chrono>
+#include <cstdint>
+
+namespace poplar::policy
+{
+
+/// Work of one request or of many, in tokens.
+struct work
+{
+    token_count prompt; ///< Prompt tokens to compute, cached ones excluded.
+    token_count output; ///< Expected output tokens.
+
+    work& operator+=(const work& other)
+    {
+        prompt += other.prompt;
+        output += other.output;
+        return *this;
+    }
+    auto operator<=>(const work&) const = default;
+};
+
+/// What one engine can do. A mixed or decode engine that also computes prompts
+/// spends `shared_prefill` of its time on them.
+struct engine_speed
+{
+    double prefill_tokens_per_second = 10000;
+    /// Sum over all streams of an engine at `max_streams`.
+    double decode_tokens_per_second = 2000;
+    /// Concurrent streams at which the token interval target is still met.
+    unsigned max_streams = 48;
+    /// Part of an engine's time that prompts may take beside decoding.
+    double shared_prefill = 0.3;
+};
+
+inline double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+inline duration from_seconds(double s)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(s));
+}
+
+/// Engine time of some work in seconds: the common measure of prompt and
+/// output tokens.
+inline double engine_seconds(const work& w, const engine_speed& speed)
+{
+    return static_cast<double>(w.prompt.value) /
+               speed.prefill_tokens_per_second +
+           static_cast<double>(w.output.value) / speed.decode_tokens_per_second;
+}
+
+/// Takes long prompts only, or streams (and the short prompts before them).
+inline bool computes_prompts_only(sheet::engine_role role)
+{
+    return role == sheet::engine_role::prefill;
+}
+
+inline bool runs_streams(sheet::engine_role role)
+{
+    return role == sheet::engine_role::decode ||
+           role == sheet::engine_role::mixed;
+}
+
+} // namespace poplar::policy
