--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,451 @@
+// Guards against frames read wrongly at any cut, crashes on bytes from a broken
+// peer, and connections that stay open though the peer is silent.
+#include "base/error.hpp"
+#include "wire/connection.hpp"
+#include "wire/socket.hpp"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
+#include <atomic>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <unistd.h>
+
+namespace poplar::wire
+{
+namespace
+{
+
+fb::stream_dataT sample_data(std::uint32_t offset, std::string text = "word ")
+{
+    fb::stream_dataT d;
+    d.stream = 7;
+    d.attempt = 1;
+    d.offset = offset;
+    d.tokens = 1;
+    d.text = std::move(text);
+    return d;
+}
+
+TEST(frame_reader, joins_frames_cut_at_every_byte)
+{
+    const std::string bytes = encode(sample_data(1)) +
+                              encode(fb::heartbeatT()) + encode(sample_data(2));
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut)
+    {
+        frame_reader reader;
+        frame f;
+        std::vector<message_type> types;
+        for (const auto& part : {bytes.substr(0, cut), bytes.substr(cut)})
+        {
+            reader.feed(part);
+            while (reader.next(f))
+                types.push_back(f.type);
+        }
+        EXPECT_EQ(types, (std::vector{message_type::stream_data,
+                                      message_type::heartbeat,
+                                      message_type::stream_data}));
+        EXPECT_EQ(decode<fb::stream_dataT>(f).offset, 2U);
+    }
+}
+
+struct fault_case
+{
+    frame_header header;
+    protocol_fault expected;
+};
+
+class header_faults : public testing::TestWithParam<fault_case>
+{
+};
+
+TEST_P(header_faults, are_typed)
+{
+    frame_reader reader;
+    reader.feed({reinterpret_cast<const char*>(&GetParam().header),
+                 sizeof(frame_header)});
+    frame f;
+    try
+    {
+        reader.next(f);
+        FAIL() << "no fault reported";
+    }
+    catch (const protocol_error& ec)
+    {
+        EXPECT_EQ(ec.fault(), GetParam().expected) << ec.what();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, header_faults,
+    testing::Values(
+        fault_case{{1, 1, 2, 0}, protocol_fault::bad_magic},
+        fault_case{{frame_magic, 0, 2, 0}, protocol_fault::unknown_version},
+        fault_case{{frame_magic, 2, 2, 0}, protocol_fault::unknown_version},
+        fault_case{{frame_magic, 1, 0, 0}, protocol_fault::unknown_type},
+        fault_case{{frame_magic, 1, 16, 0}, protocol_fault::unknown_type},
+        fault_case{{frame_magic, 1, 2, 0xffffffff}, protocol_fault::too_long},
+        fault_case{{frame_magic, 1, 2, 0}, protocol_fault::bad_payload}));
+
+/// Reads all frames; true when the bytes were sound or failed with the typed
+/// error.
+bool reads_or_fails_typed(const std::string& bytes)
+{
+    frame_reader reader;
+    frame f;
+    try
+    {
+        reader.feed(bytes);
+        while (reader.next(f))
+        {
+            if (f.type == message_type::open_stream)
+                decode<fb::open_streamT>(f);
+            else if (f.type == message_type::call)
+                decode<fb::callT>(f);
+        }
+    }
+    catch (const protocol_error&)
+    {
+    }
+    return true;
+}
+
+RC_GTEST_PROP(frame_reader, survives_random_bytes, (std::string bytes))
+{
+    RC_ASSERT(reads_or_fails_typed(bytes));
+    std::string framed;
+    append_frame(framed, message_type::open_stream, bytes);
+    RC_ASSERT(reads_or_fails_typed(framed));
+}
+
+RC_GTEST_PROP(frame_reader, survives_mutated_frames, (std::string text))
+{
+    fb::open_streamT open;
+    open.request = std::make_unique<fb::request_id>(1, 2);
+    open.prompt = text;
+    open.kv = std::make_unique<fb::kv_sourceT>();
+    fb::callT call;
+    call.headers.push_back(std::make_unique<fb::header_fieldT>());
+    call.path = text;
+    std::string bytes = encode(open) + encode(call);
+    const auto changes = *rc::gen::inRange(1, 9);
+    for (int i = 0; i < changes; ++i)
+    {
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[at] = *rc::gen::arbitrary<char>();
+    }
+    RC_ASSERT(reads_or_fails_typed(bytes));
+}
+
+TEST(frame, refuses_too_long_payload)
+{
+    std::string out;
+    EXPECT_THROW(append_frame(out, message_type::call,
+                              std::string(max_payload_bytes + 1, 'x')),
+                 protocol_error);
+}
+
+/// What one side of a connection saw.
+struct observer
+{
+    absl::Mutex mutex;
+    std::vector<std::string> calls;
+    std::vector<frame> frames;
+    std::vector<close_reason> reasons;
+    connection_ptr last;
+    std::atomic<int> running{0};
+    std::atomic<bool> overlapped{false};
+
+    connection_hooks hooks()
+    {
+        connection_hooks h;
+        h.opened = [this](const connection_ptr& c, const fb::helloT& peer)
+        {
+            note("opened " + peer.instance, c);
+        };
+        h.received = [this](const connection_ptr& c, const frame& f)
+        {
+            if (f.type == message_type::heartbeat)
+                return;
+            note("received", c);
+            absl::MutexLock lock(&mutex);
+            frames.push_back(f);
+        };
+        h.closed = [this](const connection_ptr& c, close_reason reason)
+        {
+            note("closed", c);
+            absl::MutexLock lock(&mutex);
+            reasons.push_back(reason);
+        };
+        return h;
+    }
+
+    void note(std::string what, const connection_ptr& c)
+    {
+        if (++running > 1)
+            overlapped = true;
+        {
+            absl::MutexLock lock(&mutex);
+            calls.push_back(std::move(what));
+            last = c;
+        }
+        --running;
+    }
+
+    template <class Condition>
+    bool wait(Condition condition, absl::Duration limit = absl::Seconds(5))
+    {
+        absl::MutexLock lock(&mutex);
+        return mutex.AwaitWithTimeout(absl::Condition(&condition), limit);
+    }
+
+    bool wait_calls(std::size_t n)
+    {
+        return wait([this, n] { return calls.size() >= n; });
+    }
+
+    bool wait_closed(absl::Duration limit = absl::Seconds(5))
+    {
+        return wait([this] { return !reasons.empty(); }, limit);
+    }
+};
+
+loop_options options(const std::string& instance)
+{
+    loop_options o;
+    o.hello.instance = instance;
+    return o;
+}
+
+const ip_address any_port{"127.0.0.1", 0};
+
+TEST(connection, exchanges_hellos_and_frames_both_ways)
+{
+    observer a;
+    observer b;
+    loop server(options("agent"));
+    loop client(options("entry"));
+    const ip_address at = server.listen(any_port, a.hooks());
+    const connection_ptr c = client.connect(at, b.hooks());
+    // Sent before the handshake has ended: must follow the hello.
+    EXPECT_TRUE(c->send(encode(sample_data(1, std::string(3 << 20, 'x')))));
+    ASSERT_TRUE(a.wait_calls(2));
+    EXPECT_EQ(a.calls, (std::vector<std::string>{"opened entry", "received"}));
+    a.last->send(encode(sample_data(9)));
+    ASSERT_TRUE(b.wait_calls(2));
+    EXPECT_EQ(b.calls, (std::vector<std::string>{"opened agent", "received"}));
+    c->close();
+    ASSERT_TRUE(a.wait_closed() && b.wait_closed());
+    EXPECT_EQ(a.reasons, std::vector{close_reason::closed_by_peer});
+    EXPECT_EQ(b.reasons, std::vector{close_reason::closed_here});
+    EXPECT_FALSE(c->send(encode(fb::heartbeatT())));
+}
+
+TEST(connection, refuses_peer_without_common_version)
+{
+    observer a;
+    observer b;
+    loop server(options("agent"));
+    loop_options newer = options("entry");
+    newer.hello.lowest_version = protocol_version + 1;
+    newer.hello.highest_version = protocol_version + 3;
+    loop client(std::move(newer));
+    client.connect(server.listen(any_port, a.hooks()), b.hooks());
+    ASSERT_TRUE(a.wait_closed());
+    EXPECT_EQ(a.reasons, std::vector{close_reason::handshake_failed});
+    EXPECT_EQ(a.calls, std::vector<std::string>{"closed"});
+}
+
+TEST(connection, reports_refused_connect)
+{
+    observer a;
+    loop client(options("entry"));
+    ip_address closed_port;
+    {
+        const file_handle fd = open_listener(any_port);
+        closed_port = local_address(fd.get());
+    }
+    client.connect(closed_port, a.hooks());
+    ASSERT_TRUE(a.wait_closed());
+    EXPECT_EQ(a.reasons, std::vector{close_reason::connect_failed});
+}
+
+TEST(connection, gives_up_peer_that_never_answers_the_hello)
+{
+    observer a;
+    loop client(options("entry"));
+    const file_handle silent = open_listener(any_port);
+    client.connect(local_address(silent.get()), a.hooks());
+    ASSERT_TRUE(a.wait_closed());
+    EXPECT_EQ(a.reasons, std::vector{close_reason::handshake_failed});
+}
+
+/// A peer made of a bare socket.
+class bare_peer
+{
+public:
+    bare_peer() : listener_(open_listener(any_port)) {}
+
+    ip_address address() const
+    {
+        return local_address(listener_.get());
+    }
+
+    /// Waits for a connection.
+    void accept()
+    {
+        while (!fd_.is_open())
+        {
+            fd_ = file_handle(::accept(listener_.get(), nullptr, nullptr));
+            ::usleep(1000);
+        }
+    }
+
+    void write(const std::string& bytes)
+    {
+        ASSERT_EQ(::write(fd_.get(), bytes.data(), bytes.size()),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+
+private:
+    file_handle listener_;
+    file_handle fd_;
+};
+
+fb::helloT bare_hello()
+{
+    fb::helloT hello;
+    hello.instance = "bare";
+    hello.lowest_version = 1;
+    hello.highest_version = 1;
+    return hello;
+}
+
+TEST(connection, closes_when_the_peer_falls_silent_after_the_handshake)
+{
+    observer a;
+    bare_peer peer;
+    loop client(options("entry"));
+    client.connect(peer.address(), a.hooks());
+    peer.accept();
+    const mono_time opened = now();
+    peer.write(encode(bare_hello()));
+    ASSERT_TRUE(a.wait_closed());
+    EXPECT_EQ(a.reasons, std::vector{close_reason::silent});
+    EXPECT_GE(now() - opened, silence_timeout);
+    EXPECT_LE(now() - opened, silence_timeout + std::chrono::seconds(1));
+}
+
+TEST(connection, stays_open_by_heartbeats_alone)
+{
+    observer a;
+    observer b;
+    loop server(options("agent"));
+    loop client(options("entry"));
+    client.connect(server.listen(any_port, a.hooks()), b.hooks());
+    ASSERT_TRUE(a.wait_calls(1) && b.wait_calls(1));
+    EXPECT_FALSE(a.wait_closed(absl::Milliseconds(2600)));
+    EXPECT_FALSE(b.wait_closed(absl::ZeroDuration()));
+}
+
+TEST(connection, closes_on_garbage_after_the_handshake)
+{
+    observer a;
+    bare_peer peer;
+    loop client(options("entry"));
+    client.connect(peer.address(), a.hooks());
+    peer.accept();
+    peer.write(encode(bare_hello()) + std::string(64, 'x'));
+    ASSERT_TRUE(a.wait_closed());
+    EXPECT_EQ(a.reasons, std::vector{close_reason::protocol_fault});
+}
+
+TEST(connection, closes_when_more_than_the_send_limit_waits)
+{
+    observer a;
+    bare_peer peer;
+    loop_options small = options("entry");
+    small.send_limit_bytes = std::size_t(8) << 20;
+    loop client(std::move(small));
+    const connection_ptr c = client.connect(peer.address(), a.hooks());
+    peer.accept();
+    const std::string big = encode(sample_data(0, std::string(1 << 20, 'x')));
+    int sent = 0;
+    while (sent < 64 && c->send(big))
+        ++sent;
+    EXPECT_LT(sent, 64);
+    ASSERT_TRUE(a.wait_closed());
+    EXPECT_EQ(a.reasons, std::vector{close_reason::send_overflow});
+}
+
+TEST(connection, many_at_once_lose_and_swap_nothing)
+{
+    constexpr std::uint32_t connections = 200;
+    constexpr std::uint32_t frames = 50;
+    std::atomic<std::uint32_t> wrong{0};
+    std::atomic<std::uint32_t> ended{0};
+    connection_hooks echo;
+    echo.received = [](const connection_ptr& c, const frame& f)
+    {
+        if (f.type == message_type::stream_data)
+            c->send(encode(decode<fb::stream_dataT>(f)));
+    };
+    loop server(options("agent"));
+    loop client(options("entry"));
+    const ip_address at = server.listen(any_port, echo);
+    for (std::uint32_t n = 0; n < connections; ++n)
+    {
+        auto next = std::make_shared<std::uint32_t>(0);
+        connection_hooks h;
+        h.opened = [](const connection_ptr& c, const fb::helloT&)
+        {
+            for (std::uint32_t i = 0; i < frames; ++i)
+                c->send(encode(sample_data(i)));
+        };
+        h.received = [&, next](const connection_ptr&, const frame& f)
+        {
+            if (f.type != message_type::stream_data)
+                return;
+            if (decode<fb::stream_dataT>(f).offset != (*next)++)
+                ++wrong;
+            if (*next == frames)
+                ++ended;
+        };
+        client.connect(at, std::move(h));
+    }
+    for (int i = 0; i < 1000 && ended < connections; ++i)
+        ::usleep(10000);
+    EXPECT_EQ(ended, connections);
+    EXPECT_EQ(wrong, 0U);
+}
+
+TEST(loop, closes_connections_and_drops_tasks_when_destroyed)
+{
+    observer a;
+    observer b;
+    std::atomic<bool> ran{false};
+    auto server = std::make_unique<loop>(options("agent"));
+    loop client(options("entry"));
+    client.connect(server->listen(any_port, a.hooks()), b.hooks());
+    ASSERT_TRUE(a.wait_calls(1));
+    server->call_later(std::chrono::seconds(60), [&ran] { ran = true; });
+    server.reset();
+    EXPECT_EQ(a.reasons, std::vector{close_reason::closed_here});
+    EXPECT_FALSE(a.overlapped);
+    EXPECT_FALSE(ran);
+}
+
+TEST(loop, calls_task_after_the_delay)
+{
+    absl::Notification called;
+    loop l(options("entry"));
+    const mono_time start = now();
+    l.call_later(std::chrono::milliseconds(50), [&called] { called.Notify(); });
+    ASSERT_TRUE(called.WaitForNotificationWithTimeout(absl::Seconds(5)));
+    EXPECT_GE(now() - start, std::chrono::milliseconds(50));
+}
+
+} // namespace
+} // namespace poplar::wire
--- a/wire/connection.hpp
+++ b/wire/connection.hpp
@@ -90,7 +90,8 @@
     /// Throws system_failure.
     ip_address listen(const ip_address& at, connection_hooks hooks);
 
-    /// Starts connecting; the result comes through `opened` or `closed`.
+    /// Starts connecting; the result comes through `opened` or `closed`. Once
+    /// the destructor has begun, no hook is called for the new connection.
     connection_ptr connect(const ip_address& to, connection_hooks hooks);
 
     /// Replaces the hello sent on connections made from now on.
--- a/wire/frame.hpp
+++ b/wire/frame.hpp
@@ -145,6 +145,9 @@
     bool next(frame& out);
 
 private:
+    /// Frees the bytes of the frames taken; returns false.
+    bool drop_consumed();
+
     std::string buffer_;
     std::size_t consumed_ = 0;
 };
