Parse, check, compare and publish sheets

Planners need every fault of a sheet at once, and an export whose response was lost must be reported as accepted, refused or unknown, never as failed.

The record of sheet/current keeps up to 64 replaced exports, so that an export that was accepted and replaced before its writer read back is not reported as refused. Call matching follows lenient readings of a path (escapes, case, empty and dot segments, parameters), since a missed at-most-once call could run twice.

--- a/sheet/sheet.hpp
+++ b/sheet/sheet.hpp
@@ -6,7 +6,9 @@
 #include "base/units.hpp"
 #include "settings/reader.hpp"
 
-#include <map>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -99,6 +101,26 @@
 /// fault. `file` names the source in faults.
 sheet parse_sheet(const std::string& text, const std::string& file);
 
+/// Longest sheet text: as JSON, with the record around it, it stays below the
+/// 1 MB that the platform allows for a value.
+constexpr std::size_t max_sheet_bytes = std::size_t(512) << 10;
+
+/// An export that was accepted and has been replaced by a later one.
+struct past_export
+{
+    sheet_generation generation;
+    std::string export_id;
+    std::string operator_name;
+    std::int64_t exported_at = 0; ///< Seconds since 1970, UTC.
+
+    auto operator<=>(const past_export&) const = default;
+};
+
+/// Replaced exports kept in the record. They answer whether an export whose
+/// response was lost had been accepted before a later one replaced it; 64
+/// need about 8 KiB of the object.
+constexpr std::size_t max_past_exports = 64;
+
 /// The object sheet/current.
 struct sheet_record
 {
@@ -107,9 +129,13 @@
     std::string operator_name;
     std::int64_t exported_at = 0; ///< Seconds since 1970, UTC.
     std::string text;
+    std::vector<past_export> past; ///< Newest first.
+
+    bool operator==(const sheet_record&) const = default;
 };
 
-/// JSON of the object; parse_record throws parse_error.
+/// JSON of the object, with a digest of the text. parse_record throws
+/// parse_error, also when the digest does not match the text.
 std::string to_json(const sheet_record& record);
 sheet_record parse_record(const std::string& json);
 
@@ -118,10 +144,17 @@
 /// State that the sheet asks of an instance.
 upstream_state state_of(const sheet& s, const instance_id& instance);
 
-/// True when the sheet declares the call as at most once.
+/// True when the sheet declares the call as at most once. Compares as a lenient
+/// service might: percent-encoding, letter case, empty, "." and ".." segments,
+/// path parameters (";...") and a query do not hide a call. A path that may be
+/// read in two ways counts as at most once when one of them is.
 bool is_once(const service& s, const std::string& method,
              const std::string& path);
 
+std::string to_string(engine_role role);
+std::string to_string(upstream_state state);
+std::string to_string(role_policy policy);
+
 const engine_group* find_group(const sheet& s, const group_id& name);
 const service* find_service(const sheet& s, const service_id& name);
 
