entry: data path between callers and agents

Callers' HTTP, the tables of open streams and calls, connections to agents, the sheet and assignments in force, the decision record and metrics.

--- /dev/null
+++ b/entry/agent_links.hpp
@@ -0,0 +1,86 @@
+/// Connections to the agents of this entry's cell, with the instance table.
+#pragma once
+
+#include "entry/membership.hpp"
+#include "wire/connection.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplar::entry
+{
+
+/// Called on the loop's threads without a lock held; must not block.
+struct link_hooks
+{
+    std::function<void(const instance_id&, std::uint64_t connection)> opened;
+    /// An open connection was lost.
+    std::function<void(const instance_id&, std::uint64_t connection)> lost;
+    /// An attempt to connect failed.
+    std::function<void(const instance_id&)> unreachable;
+    /// The report, or whether the instance is usable, may have changed.
+    std::function<void(const instance_id&)> changed;
+    /// Frames other than reports, heartbeats and goaway.
+    std::function<void(const instance_id&, std::uint64_t connection,
+                       const wire::frame&)>
+        received;
+};
+
+/// A row of the instance table.
+struct member_view
+{
+    member row;
+    unusable why = unusable::none;
+};
+
+/// Members may be called from any thread. The lock is a leaf.
+class agent_links
+{
+public:
+    /// `loop` must outlive all calls of hooks.
+    agent_links(wire::loop& loop, membership_options options, link_hooks hooks);
+
+    void apply_list(const std::vector<platform::instance_record>& list);
+    void apply_drains(std::set<instance_id> drained);
+    /// Starts the connections that are due; call it every 20 ms or so.
+    void connect_due();
+
+    /// False when the connection is closed: certainly not sent.
+    bool send(std::uint64_t connection, std::string encoded);
+    bool send_to(const instance_id& instance, std::string encoded);
+    /// Sends to every open connection.
+    void broadcast(const std::string& encoded);
+
+    /// Connection of the instance, or 0 when it may get no new work.
+    std::uint64_t usable_connection(const instance_id& instance) const;
+    std::vector<instance_id> usable(const group_id& group) const;
+    owner_route route_to_owner(const service_id& service, unsigned shard,
+                               const ip_address& hint) const;
+    /// Copies; for status, policy and control.
+    std::vector<member_view> members() const;
+    std::optional<member_view> find(const instance_id& instance) const;
+
+private:
+    void connect(const connect_order& order);
+    void on_opened(const instance_id& instance, std::uint64_t number,
+                   const wire::connection_ptr& c, const fb::helloT& peer);
+    void on_closed(const instance_id& instance, std::uint64_t number);
+    void on_frame(const instance_id& instance, std::uint64_t number,
+                  const wire::frame& f);
+    wire::connection_ptr connection(std::uint64_t number) const;
+
+    wire::loop& loop_;
+    const link_hooks hooks_;
+    std::atomic<std::uint64_t> numbers_{0}; ///< Of the last connection.
+    mutable absl::Mutex mutex_;
+    membership table_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<std::uint64_t, wire::connection_ptr>
+        open_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace poplar::entry
--- /dev/null
+++ b/entry/chat_answer.cpp
@@ -0,0 +1,90 @@
+#include "entry/chat_answer.hpp"
+
+#include <utility>
+
+namespace poplar::entry
+{
+
+chat_answer::chat_answer(net::responder_ptr responder, chat_form form,
+                         bool is_stream, std::size_t buffer_bytes)
+    : responder_(std::move(responder)), form_(std::move(form)),
+      is_stream_(is_stream), buffer_bytes_(buffer_bytes)
+{
+}
+
+std::vector<net::header> chat_answer::headers(const char* content_type) const
+{
+    return {{"Content-Type", content_type},
+            {"Cache-Control", "no-store"},
+            {"Poplar-Request-Id", form_.id},
+            {"Poplar-Ran", "yes"}};
+}
+
+void chat_answer::begin()
+{
+    if (!std::exchange(has_begun_, true))
+        responder_->begin(200, headers("text/event-stream"));
+}
+
+void chat_answer::write_pending()
+{
+    if (pending_.empty())
+        return;
+    begin();
+    waiting_ = responder_->write(chat_chunk(form_, pending_));
+    passed_ += pending_.size();
+    pending_.clear();
+}
+
+void chat_answer::add_text(std::string_view text)
+{
+    pending_ += text;
+    // A whole answer is sent at its end; its length is bounded by max_tokens.
+    if (!is_stream_)
+        passed_ += text.size();
+}
+
+bool chat_answer::pump()
+{
+    if (!is_stream_)
+        return true;
+    if (waiting_ >= buffer_bytes_)
+        waiting_ = responder_->write({});
+    if (waiting_ >= buffer_bytes_)
+        return false;
+    write_pending();
+    return waiting_ < buffer_bytes_;
+}
+
+std::size_t chat_answer::take_passed()
+{
+    return std::exchange(passed_, 0);
+}
+
+void chat_answer::end(const chat_usage& usage)
+{
+    if (!is_stream_)
+    {
+        responder_->respond({200, headers("application/json"),
+                             chat_body(form_, pending_, usage)});
+        return;
+    }
+    write_pending();
+    begin();
+    responder_->write(chat_last_chunk(form_, usage));
+    responder_->finish();
+}
+
+void chat_answer::fail(const failure& f)
+{
+    if (!has_begun_)
+    {
+        responder_->respond(failure_response(f, form_.id));
+        return;
+    }
+    write_pending();
+    responder_->write("data: " + failure_json(f) + "\n\n");
+    responder_->finish();
+}
+
+} // namespace poplar::entry
--- /dev/null
+++ b/entry/entry.hpp
@@ -0,0 +1,123 @@
+/// The entry process: wires the parts of the data path together.
+///
+/// Lock order, outer first: the mutex of one stream or call (never two of
+/// them), engine_feed, then one of the leaves: the tables' own mutexes,
+/// agent_links, live_config, the policy, decision_log, demand_counter,
+/// entry_metrics, admin state. Hooks of links, platform feed and HTTP server
+/// are called without any of these locks held. Responders and connections
+/// have locks of their own below all of these.
+#pragma once
+
+#include "daemon/daemon.hpp"
+#include "entry/agent_links.hpp"
+#include "entry/calls.hpp"
+#include "entry/decision_log.hpp"
+#include "entry/demand.hpp"
+#include "entry/dispatch_policy.hpp"
+#include "entry/engine_feed.hpp"
+#include "entry/entry_metrics.hpp"
+#include "entry/front.hpp"
+#include "entry/live_config.hpp"
+#include "entry/platform_feed.hpp"
+#include "entry/settings.hpp"
+#include "entry/streams.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplar::entry
+{
+
+/// What one agent last reported.
+struct agent_load
+{
+    instance_id instance;
+    failure_domain_id failure_domain;
+    unusable why = unusable::none;
+    fb::load_reportT report;
+    duration age{}; ///< Since the report was received.
+};
+
+/// A group as the control work sees it.
+struct group_view
+{
+    std::vector<agent_load> agents;
+    group_demand demand; ///< By rank, since the last view.
+};
+
+struct entry_hooks
+{
+    /// Demand of another entry arrived on an inner connection.
+    std::function<void(const fb::demand_reportT&)> demand_reported;
+    std::function<void(const sheet_in_force&)> sheet_changed;
+    std::function<void(const group_assignments&)> assignments_changed;
+};
+
+class entry
+{
+public:
+    /// Listens and starts all threads; throws system_failure. `store` must
+    /// outlive the entry.
+    entry(entry_settings settings, platform::object_store& store,
+          std::unique_ptr<dispatch_policy> policy, entry_hooks hooks = {});
+    ~entry();
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+
+    ip_address http_address() const;
+    ip_address inner_address() const
+    {
+        return inner_address_;
+    }
+    ip_address admin_address() const;
+    bool is_ready() const;
+
+    /// Refuses new requests, stops listening after the close delay and returns
+    /// when the open requests have ended.
+    void drain();
+
+    /// Latest reports and the demand since the last call, for each group.
+    std::map<group_id, group_view> take_control_view();
+
+private:
+    link_hooks make_link_hooks();
+    platform_hooks make_platform_hooks();
+    path_services make_services();
+    void start_loop();
+    void listen_inner();
+    void agent_opened(const instance_id& instance, std::uint64_t connection);
+    void agent_lost(const instance_id& instance, std::uint64_t connection);
+    void sheet_changed(const sheet_in_force& s);
+    void assignments_changed(const group_assignments& a);
+    void send_part(const instance_id& instance);
+    void tick();
+    void admin(const net::http_request& request,
+               const net::responder_ptr& answer) const;
+    std::string status_json() const;
+    bool has_open_requests() const;
+
+    const entry_settings settings_;
+    const entry_hooks hooks_;
+    std::atomic<std::uint64_t> next_number_;
+    std::unique_ptr<dispatch_policy> policy_;
+    live_config config_;
+    decision_log decisions_;
+    entry_metrics metrics_;
+    demand_counter demand_;
+    engine_feed engines_;
+    std::unique_ptr<wire::loop> loop_;
+    std::unique_ptr<agent_links> links_;
+    std::unique_ptr<stream_table> streams_;
+    std::unique_ptr<call_table> calls_;
+    std::unique_ptr<front> front_;
+    std::unique_ptr<daemon::admin_server> admin_;
+    std::unique_ptr<net::http_server> server_;
+    ip_address inner_address_;
+    std::unique_ptr<platform_feed> feed_;
+};
+
+} // namespace poplar::entry
--- a/entry/failure.cpp
+++ b/entry/failure.cpp
@@ -70,8 +70,10 @@
 net::http_response failure_response(const failure& f,
                                     const std::string& request)
 {
-    net::http_response response =
-        net::json_response(form_of(f.kind).status, failure_json(f));
+    net::http_response response;
+    response.status = form_of(f.kind).status;
+    response.body = failure_json(f);
+    response.headers.push_back({"Content-Type", "application/json"});
     response.headers.push_back({"Poplar-Ran", std::string(ran_text(f.ran))});
     response.headers.push_back({"Poplar-Request-Id", request});
     if (f.retry_after > duration::zero())
--- /dev/null
+++ b/entry/platform_feed.cpp
@@ -0,0 +1,115 @@
+#include "entry/platform_feed.hpp"
+
+#include "observe/log.hpp"
+
+#include <utility>
+
+namespace poplar::entry
+{
+
+namespace
+{
+
+platform::watcher_options watch_options(const std::string& prefix,
+                                        duration poll)
+{
+    platform::watcher_options options;
+    options.prefix = prefix;
+    options.poll = poll;
+    return options;
+}
+
+} // namespace
+
+platform_feed::platform_feed(platform::object_store& store, live_config& config,
+                             platform_feed_options options,
+                             platform_hooks hooks)
+    : store_(store), config_(config), options_(options),
+      hooks_(std::move(hooks)),
+      sheet_watcher_(
+          store, watch_options(sheet_prefix, options.watch),
+          {[this](const platform::object& o) { take_sheet(o); }, {}}),
+      assignments_watcher_(
+          store, watch_options(assignments_prefix, options.watch),
+          {[this](const platform::object& o) { take_assignments(o); }, {}}),
+      poller_([this] { poll_instances(); })
+{
+}
+
+platform_feed::~platform_feed()
+{
+    {
+        absl::MutexLock lock(&mutex_);
+        is_stopping_ = true;
+    }
+    store_.stop_watches();
+    poller_.join();
+}
+
+void platform_feed::take_sheet(const platform::object& o)
+{
+    try
+    {
+        if (!config_.take_sheet(o))
+            return;
+    }
+    catch (const error& ec)
+    {
+        return observe::log(
+            observe::event::entry_sheet_refused,
+            {{"version", o.version.value}, {"reason", ec.what()}});
+    }
+    const sheet_in_force current = config_.current();
+    observe::log(observe::event::entry_sheet_in_force,
+                 {{"generation", current.generation.value}});
+    hooks_.sheet_changed(current);
+}
+
+void platform_feed::take_assignments(const platform::object& o)
+{
+    try
+    {
+        if (const auto taken = config_.take_assignments(o))
+            hooks_.assignments_changed(*taken);
+    }
+    catch (const error& ec)
+    {
+        observe::log(observe::event::entry_assignments_refused,
+                     {{"key", o.key.value},
+                      {"version", o.version.value},
+                      {"reason", ec.what()}});
+    }
+}
+
+void platform_feed::poll_instances()
+{
+    do
+        poll_once();
+    while (pause());
+}
+
+void platform_feed::poll_once()
+{
+    try
+    {
+        hooks_.listed(store_.instances());
+        if (!std::exchange(is_list_available_, true))
+            observe::log(observe::event::entry_instances_available);
+    }
+    catch (const platform::store_error& ec)
+    {
+        if (std::exchange(is_list_available_, false))
+            observe::log(observe::event::entry_instances_unavailable,
+                         {{"reason", ec.what()}});
+    }
+}
+
+bool platform_feed::pause()
+{
+    absl::MutexLock lock(&mutex_);
+    return !mutex_.AwaitWithTimeout(
+        absl::Condition(&is_stopping_),
+        absl::Microseconds(options_.instance_poll.count()));
+}
+
+} // namespace poplar::entry
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -18,9 +18,11 @@
     l.max_body = table.size("max_body", l.max_body, byte_count(1 << 10),
                             byte_count(3 << 20));
     l.max_output = token_count(
-        table.integer("max_output_tokens", l.max_output.value, 1, 1 << 20));
+        table.integer("max_output_tokens", l.max_output.value, 1, 1 << 16));
     l.default_output = token_count(table.integer(
-        "default_output_tokens", l.default_output.value, 1, 1 << 20));
+        "default_output_tokens", l.default_output.value, 1, 1 << 16));
+    if (l.default_output > l.max_output)
+        table.fail("default_output_tokens", "is above max_output_tokens");
     l.window = table.size("window", l.window, byte_count(1 << 10),
                           byte_count(1 << 20));
     l.answer_buffer = table.size("answer_buffer", l.answer_buffer,
--- /dev/null
+++ b/entry/streams.hpp
@@ -0,0 +1,103 @@
+/// Open chat requests: runs the stream sessions between callers and agents.
+#pragma once
+
+#include "base/ids.hpp"
+#include "entry/agent_links.hpp"
+#include "entry/chat_answer.hpp"
+#include "entry/decision_log.hpp"
+#include "entry/demand.hpp"
+#include "entry/dispatch_policy.hpp"
+#include "entry/entry_metrics.hpp"
+#include "entry/stream_session.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplar::entry
+{
+
+/// What the data path shares; all of it outlives the open requests.
+struct path_services
+{
+    wire::loop* loop = nullptr;
+    agent_links* links = nullptr;
+    dispatch_policy* policy = nullptr;
+    decision_log* decisions = nullptr;
+    entry_metrics* metrics = nullptr;
+    demand_counter* demand = nullptr;
+    std::function<std::uint64_t()> next_number; ///< Of streams and calls.
+};
+
+/// One request with everything that its answer needs.
+struct new_stream
+{
+    request_view view;
+    generation work;
+    std::string rank_name;
+    chat_form form;
+    bool is_stream = false;
+    std::size_t answer_buffer = 64 << 10;
+    net::responder_ptr responder;
+};
+
+/// Members may be called from any thread; hooks of the responders are passed
+/// on to threads of the loop.
+class stream_table
+{
+public:
+    stream_table(path_services services, session_limits limits);
+
+    void open(new_stream request);
+
+    /// True when the frame belongs to streams.
+    bool received(std::uint64_t connection, const wire::frame& f);
+    void opened(const instance_id& instance, std::uint64_t connection);
+    void lost(std::uint64_t connection);
+    void unreachable(const instance_id& instance);
+    /// Deadlines and queued requests; call it every 20 ms or so.
+    void tick();
+
+    std::size_t size() const;
+
+private:
+    struct stream;
+    using stream_ptr = std::shared_ptr<stream>;
+
+    template <class Input>
+    void each(Input input);
+    template <class Input>
+    void feed(const stream_ptr& s, Input input);
+    void perform(const stream_ptr& s, stream_actions actions);
+    void act(const stream_ptr& s, choose_upstream& a);
+    void act(const stream_ptr& s, send_message& a);
+    void act(const stream_ptr& s, deliver_text& a);
+    void act(const stream_ptr& s, end_answer& a);
+    void act(const stream_ptr& s, fail_answer& a);
+    void act(const stream_ptr& s, note_event& a);
+    placement_result place(const stream_ptr& s, const choose_upstream& a);
+    bool send(const stream_ptr& s, const send_message& a);
+    void pump(const stream_ptr& s);
+    void watch_caller(const stream_ptr& s);
+    void caller_gone(const stream_ptr& s);
+    void decide(const stream_ptr& s, const admission_answer& answer);
+    void end_leg(const stream_ptr& s);
+    void close(const stream_ptr& s);
+    stream_ptr find(const request_id& id) const;
+    stream_ptr find(std::uint64_t number) const;
+    std::vector<stream_ptr> all() const;
+
+    const path_services services_;
+    const session_limits limits_;
+    mutable absl::Mutex mutex_;
+    absl::flat_hash_map<request_id, stream_ptr> open_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<std::uint64_t, stream_ptr>
+        numbers_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace poplar::entry
