entry: assembly, program and tests of the whole path

poplar-entry runs the data path; tests drive it over HTTP against agents on the inner protocol and a store in memory. Decisions are recorded before the answer is sent.

--- a/entry/calls.cpp
+++ b/entry/calls.cpp
@@ -173,20 +173,20 @@
 void call_table::act(const call_ptr& c, answer_call& a)
 {
     c->mutex.AssertHeld();
-    c->responder->respond(response_of(a.result, to_string(c->id)));
     services_.decisions->add(decision_kind::ended, c->id, {},
                              "status " + std::to_string(a.result.status));
+    c->responder->respond(response_of(a.result, to_string(c->id)));
     close(c);
 }
 
 void call_table::act(const call_ptr& c, fail_call& a)
 {
     c->mutex.AssertHeld();
-    c->responder->respond(failure_response(a.why, to_string(c->id)));
     services_.metrics->failed(a.why.kind);
     services_.decisions->add(decision_kind::failed, c->id, {},
                              std::string(form_of(a.why.kind).type) + ": " +
                                  a.why.message);
+    c->responder->respond(failure_response(a.why, to_string(c->id)));
     close(c);
 }
 
--- a/entry/entry.cpp
+++ b/entry/entry.cpp
@@ -118,7 +118,7 @@
         platform_feed_options{settings_.timeouts.instance_poll,
                               settings_.timeouts.watch},
         make_platform_hooks());
-    tick();
+    tick(*loop_);
 }
 
 entry::~entry()
@@ -281,14 +281,16 @@
         links_->send_to(instance, wire::encode(*part));
 }
 
-void entry::tick()
+void entry::tick(wire::loop& loop)
 {
     links_->connect_due();
     streams_->tick();
     calls_->tick();
     metrics_.open_requests(
         static_cast<double>(streams_->size() + calls_->size()));
-    loop_->call_later(tick_interval, [this] { tick(); });
+    // Not through loop_, which is already null while the loop's threads are
+    // being joined.
+    loop.call_later(tick_interval, [this, &loop] { tick(loop); });
 }
 
 ip_address entry::http_address() const
--- a/entry/entry.hpp
+++ b/entry/entry.hpp
@@ -94,7 +94,7 @@
     void sheet_changed(const sheet_in_force& s);
     void assignments_changed(const group_assignments& a);
     void send_part(const instance_id& instance);
-    void tick();
+    void tick(wire::loop& loop);
     void admin(const net::http_request& request,
                const net::responder_ptr& answer) const;
     std::string status_json() const;
--- a/entry/streams.cpp
+++ b/entry/streams.cpp
@@ -304,20 +304,21 @@
 {
     s->mutex.AssertHeld();
     const bool is_cut = a.output_tokens >= s->view.max_output.value;
-    s->answer.end({a.prompt_tokens, a.output_tokens, is_cut});
+    // Recorded first, so that a caller with the answer finds the record.
     services_.decisions->add(decision_kind::ended, s->view.id, s->engine,
                              std::to_string(a.output_tokens) + " tokens");
+    s->answer.end({a.prompt_tokens, a.output_tokens, is_cut});
     close(s);
 }
 
 void stream_table::act(const stream_ptr& s, fail_answer& a)
 {
     s->mutex.AssertHeld();
-    s->answer.fail(a.why);
     services_.metrics->failed(a.why.kind);
     services_.decisions->add(decision_kind::failed, s->view.id, s->engine,
                              std::string(form_of(a.why.kind).type) + ": " +
                                  a.why.message);
+    s->answer.fail(a.why);
     close(s);
 }
 
--- /dev/null
+++ b/tests/entry_test.cpp
@@ -0,0 +1,494 @@
+// Guards against answers that are lost, cut or mixed on the whole path from
+// callers over HTTP to agents, and against new work for instances that leave.
+#include "entry/entry.hpp"
+
+#include "entry_fake_agent.hpp"
+#include "net/http_client.hpp"
+#include "platform/memory_store.hpp"
+#include "sheet/sheet.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace poplar::entry
+{
+namespace
+{
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string sheet_text = R"(
+[[rank]]
+name = "urgent"
+first_token_target = "300ms"
+token_interval_target = "30ms"
+[[rank]]
+name = "batch"
+first_token_target = "10s"
+token_interval_target = "1s"
+[[group]]
+name = "g"
+model = "m"
+version = "1"
+split_threshold = 100
+[[service]]
+name = "desk"
+once = ["POST /book"]
+[[tenant]]
+name = "small"
+most_urgent_rank = "batch"
+)";
+
+template <class Condition>
+bool eventually(Condition condition, duration limit = seconds(8))
+{
+    const mono_time until = now() + limit;
+    while (!condition())
+    {
+        if (now() > until)
+            return false;
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return true;
+}
+
+fb::load_reportT engine_report(fb::engine_role role = fb::engine_role::mixed)
+{
+    fb::load_reportT r;
+    r.role = role;
+    r.model = "m";
+    r.ready = true;
+    return r;
+}
+
+fb::load_reportT service_report(std::vector<std::uint32_t> shards)
+{
+    fb::load_reportT r;
+    r.ready = true;
+    r.ledger_shards = std::move(shards);
+    return r;
+}
+
+std::vector<std::uint32_t> all_shards()
+{
+    std::vector<std::uint32_t> shards(ledger::shard_count);
+    for (std::uint32_t i = 0; i < shards.size(); ++i)
+        shards[i] = i;
+    return shards;
+}
+
+/// One exchange whose body can be read slowly.
+struct exchange
+{
+    absl::Mutex mutex;
+    std::string body ABSL_GUARDED_BY(mutex);
+    bool is_paused ABSL_GUARDED_BY(mutex) = false;
+    std::optional<net::client_result> result ABSL_GUARDED_BY(mutex);
+    net::exchange_number number = 0;
+
+    bool has_ended()
+    {
+        absl::MutexLock lock(&mutex);
+        return result.has_value();
+    }
+    std::string text()
+    {
+        absl::MutexLock lock(&mutex);
+        return body;
+    }
+    net::http_response response()
+    {
+        absl::MutexLock lock(&mutex);
+        return result ? result->response : net::http_response{0, {}, ""};
+    }
+};
+
+/// Text of the chunks of a whole event stream; empty without its last event.
+std::string streamed_text(const std::string& body)
+{
+    std::string text;
+    bool is_done = false;
+    std::size_t at = 0;
+    while ((at = body.find("data: ", at)) != std::string::npos)
+    {
+        at += 6;
+        const std::string data = body.substr(at, body.find("\n\n", at) - at);
+        is_done = data == "[DONE]";
+        const json event = json::parse(data, nullptr, false);
+        if (event.is_object() && event.contains("choices"))
+            text += event["choices"][0]["delta"].value("content", "");
+    }
+    return is_done ? text : "";
+}
+
+class entry_path : public testing::Test
+{
+protected:
+    void publish(std::uint64_t generation, const std::string& text = sheet_text)
+    {
+        sheet::sheet_record record;
+        record.generation = sheet_generation(generation);
+        record.export_id = std::to_string(generation);
+        record.text = text;
+        const object_version version = store_.get(sheet::sheet_key).version;
+        store_.put(sheet::sheet_key, sheet::to_json(record), version);
+    }
+    fake_agent& add(fake_agent_options options, const std::string& group = "g")
+    {
+        platform::instance_record r;
+        r.instance = instance_id(options.instance);
+        r.group = group_id(group);
+        r.kind = group == "g" ? platform::instance_kind::engine
+                              : platform::instance_kind::service;
+        agents_.push_back(std::make_unique<fake_agent>(std::move(options)));
+        r.address = agents_.back()->address();
+        records_.push_back(r);
+        store_.set_instances(records_);
+        return *agents_.back();
+    }
+    void start(bool with_sheet = true)
+    {
+        entry_settings s;
+        s.instance = instance_id("entry-1");
+        s.listen = s.inner_listen = s.admin = {"127.0.0.1", 0};
+        s.timeouts.instance_poll = milliseconds(50);
+        s.timeouts.close_delay = milliseconds(50);
+        s.timeouts.attach_wait = milliseconds(1500);
+        s.limits.max_body = byte_count(64 << 10);
+        if (with_sheet)
+            publish(5);
+        entry_ = std::make_unique<entry>(s, store_, make_basic_policy({}));
+        ASSERT_TRUE(eventually([&] { return usable() == agents_.size(); }));
+        ASSERT_TRUE(
+            eventually([&] { return entry_->is_ready() == with_sheet; }));
+    }
+    std::size_t usable()
+    {
+        std::size_t n = 0;
+        for (const auto& [group, view] : entry_->take_control_view())
+            n += static_cast<std::size_t>(std::ranges::count(
+                view.agents, unusable::none, &agent_load::why));
+        return n;
+    }
+    static std::string chat_body(std::uint32_t tokens, bool stream,
+                                 const std::string& prompt = "a b")
+    {
+        return json{{"model", "m"},
+                    {"stream", stream},
+                    {"max_tokens", tokens},
+                    {"messages", {{{"role", "user"}, {"content", prompt}}}}}
+            .dump();
+    }
+    net::client_request request(const std::string& path,
+                                const std::string& body)
+    {
+        net::client_request r;
+        r.method = body.empty() ? "GET" : "POST";
+        r.to = entry_->http_address();
+        r.path = path;
+        r.body = body;
+        r.timeout = seconds(30);
+        return r;
+    }
+    net::http_response chat(std::uint32_t tokens, bool stream,
+                            const std::string& prompt = "a b")
+    {
+        return client_
+            .fetch(request("/v1/chat/completions",
+                           chat_body(tokens, stream, prompt)))
+            .response;
+    }
+    std::shared_ptr<exchange> start_chat(std::uint32_t tokens,
+                                         bool is_paused = false)
+    {
+        auto x = std::make_shared<exchange>();
+        x->is_paused = is_paused;
+        net::client_hooks h;
+        h.body_piece = [x](std::string_view piece)
+        {
+            absl::MutexLock lock(&x->mutex);
+            if (!x->is_paused)
+                x->body += piece;
+            return !x->is_paused;
+        };
+        h.done = [x](net::client_result r)
+        {
+            absl::MutexLock lock(&x->mutex);
+            x->result = std::move(r);
+        };
+        x->number = client_.start(
+            request("/v1/chat/completions", chat_body(tokens, true)), h);
+        return x;
+    }
+    net::http_response book(const std::string& key)
+    {
+        net::client_request r = request("/services/desk/book", "seat 4");
+        r.headers = {{"Idempotency-Key", key}};
+        return client_.fetch(r).response;
+    }
+    json admin(const std::string& path)
+    {
+        net::client_request r;
+        r.to = entry_->admin_address();
+        r.path = path;
+        return json::parse(client_.fetch(r).response.body);
+    }
+    static std::string header(const net::http_response& r, const char* name)
+    {
+        const std::string* value = net::find_header(r.headers, name);
+        return value ? *value : "";
+    }
+
+    platform::memory_store store_;
+    std::vector<platform::instance_record> records_;
+    std::vector<std::unique_ptr<fake_agent>> agents_;
+    net::http_client client_;
+    std::unique_ptr<entry> entry_;
+};
+
+std::unique_ptr<fb::call_resultT> done(const fb::callT&)
+{
+    auto r = std::make_unique<fb::call_resultT>();
+    r->state = fb::call_state::done;
+    r->status = 201;
+    r->body = {'o', 'k'};
+    return r;
+}
+
+TEST_F(entry_path, streams_and_gives_whole_answers)
+{
+    add({"e1", engine_report()});
+    start();
+    const net::http_response streamed = chat(20, true);
+    EXPECT_EQ(streamed.status, 200U);
+    EXPECT_EQ(streamed_text(streamed.body), whole_answer(20));
+    EXPECT_EQ(header(streamed, "Poplar-Ran"), "yes");
+    const net::http_response whole = chat(7, false);
+    const json body = json::parse(whole.body);
+    EXPECT_EQ(body["choices"][0]["message"]["content"], whole_answer(7));
+    EXPECT_EQ(body["usage"]["completion_tokens"], 7);
+    const std::string id = header(whole, "Poplar-Request-Id");
+    const json explained = admin("/explain?request=" + id);
+    ASSERT_EQ(explained["decisions"].size(), 3U);
+    EXPECT_EQ(explained["decisions"][1]["kind"], "dispatched");
+    EXPECT_EQ(explained["decisions"][1]["instance"], "e1");
+}
+
+TEST_F(entry_path, is_not_ready_without_a_sheet_and_never_reverts)
+{
+    start(false);
+    const net::http_response refused = chat(1, false);
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_EQ(header(refused, "Poplar-Ran"), "no");
+    EXPECT_NE(header(refused, "Retry-After"), "");
+    publish(9);
+    ASSERT_TRUE(eventually([&] { return entry_->is_ready(); }));
+    publish(8);
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_EQ(admin("/status")["sheet_generation"], 9);
+}
+
+TEST_F(entry_path, refuses_wrong_requests_with_typed_errors)
+{
+    start();
+    struct wrong
+    {
+        std::string path, body, tenant, rank, type;
+        unsigned status;
+    };
+    const std::string chat = "/v1/chat/completions";
+    const std::string good = chat_body(1, false);
+    const std::vector<wrong> table{
+        {chat, "{", "t", "", "bad_request", 400},
+        {chat, R"({"model":"x","messages":[{"content":"a"}]})", "t", "",
+         "unknown_model", 404},
+        {chat, good, "t", "best", "unknown_rank", 400},
+        {chat, good, "small", "urgent", "rank_not_allowed", 403},
+        {chat, chat_body(1, false, std::string(70 << 10, 'a')), "t", "",
+         "too_long", 413},
+        {chat, good, "t", "", "no_upstream", 503},
+        {"/services/none/x", "a", "t", "", "unknown_service", 404},
+        {"/services/desk/book", "a", "t", "", "idempotency_key_missing", 400},
+        {"/other", "a", "t", "", "not_found", 404}};
+    for (const wrong& w : table)
+    {
+        net::client_request r = request(w.path, w.body);
+        r.headers = {{"Poplar-Tenant", w.tenant}, {"Poplar-Rank", w.rank}};
+        const net::http_response got = client_.fetch(r).response;
+        EXPECT_EQ(got.status, w.status) << w.type;
+        EXPECT_EQ(json::parse(got.body)["error"]["type"], w.type);
+        EXPECT_EQ(header(got, "Poplar-Ran"), "no") << w.type;
+        EXPECT_NE(header(got, "Poplar-Request-Id"), "") << w.type;
+    }
+}
+
+TEST_F(entry_path, resumes_elsewhere_when_an_agent_is_killed)
+{
+    add({"e1", engine_report(), 10});
+    add({"e2", engine_report(), 10});
+    start();
+    const auto x = start_chat(30);
+    ASSERT_TRUE(eventually(
+        [&] { return x->text().find(token_text(9)) != std::string::npos; }));
+    const std::size_t first = agents_[0]->opens() == 1 ? 0 : 1;
+    agents_[1 - first]->release();
+    agents_[first]->kill();
+    ASSERT_TRUE(eventually([&] { return x->has_ended(); }));
+    EXPECT_EQ(streamed_text(x->text()), whole_answer(30));
+    EXPECT_EQ(agents_[1 - first]->last_open().resume_text, whole_answer(10));
+}
+
+TEST_F(entry_path, attaches_after_a_lost_connection)
+{
+    fake_agent& agent = add({"e1", engine_report(), 10});
+    start();
+    const auto x = start_chat(30);
+    ASSERT_TRUE(eventually(
+        [&] { return x->text().find(token_text(9)) != std::string::npos; }));
+    agent.drop_connections();
+    agent.release();
+    ASSERT_TRUE(eventually([&] { return x->has_ended(); }));
+    EXPECT_EQ(streamed_text(x->text()), whole_answer(30));
+    EXPECT_EQ(agent.opens(), 1U);
+}
+
+TEST_F(entry_path, drained_instance_gets_no_new_work)
+{
+    fake_agent& drained = add({"e1", engine_report()});
+    add({"e2", engine_report()});
+    start();
+    publish(6, "drained = [\"e1\"]\n" + sheet_text);
+    ASSERT_TRUE(eventually([&] { return usable() == 1; }));
+    const std::size_t before = drained.opens();
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(chat(2, false).status, 200U);
+    EXPECT_EQ(drained.opens(), before);
+}
+
+TEST_F(entry_path, long_prompts_are_prefilled_elsewhere)
+{
+    add({"p", engine_report(fb::engine_role::prefill)});
+    fake_agent& decode = add({"d", engine_report(fb::engine_role::decode)});
+    start();
+    std::string prompt;
+    for (int i = 0; i < 100; ++i)
+        prompt += "w ";
+    const net::http_response r = chat(5, true, prompt);
+    EXPECT_EQ(streamed_text(r.body), whole_answer(5));
+    ASSERT_TRUE(decode.last_open().kv);
+    EXPECT_EQ(decode.last_open().kv->handle, "handle");
+}
+
+// A caller that does not read must neither fill memory nor slow others.
+TEST_F(entry_path, slow_reader_is_bounded_and_slows_nobody)
+{
+    fake_agent& agent = add({"e1", engine_report()});
+    start();
+    const auto slow = start_chat(8000, true);
+    ASSERT_TRUE(eventually([&] { return agent.opens() == 1; }));
+    EXPECT_EQ(streamed_text(chat(50, true).body), whole_answer(50));
+    ASSERT_TRUE(eventually([&] { return !slow->has_ended(); }));
+    {
+        absl::MutexLock lock(&slow->mutex);
+        slow->is_paused = false;
+    }
+    client_.resume(slow->number);
+    ASSERT_TRUE(eventually([&] { return slow->has_ended(); }));
+    EXPECT_EQ(streamed_text(slow->text()), whole_answer(8000));
+}
+
+TEST_F(entry_path, caller_that_leaves_frees_the_engine)
+{
+    fake_agent& agent = add({"e1", engine_report(), 3});
+    start();
+    const auto x = start_chat(30);
+    ASSERT_TRUE(eventually([&] { return !x->text().empty(); }));
+    client_.cancel(x->number);
+    EXPECT_TRUE(eventually([&] { return agent.cancels() == 1; }));
+    EXPECT_TRUE(
+        eventually([&] { return admin("/status")["open_streams"] == 0; }));
+}
+
+TEST_F(entry_path, assignments_reach_agents_on_connect_and_on_change)
+{
+    const object_key key("assignments/g");
+    const std::string text =
+        R"({"epoch":1,"owner":"x","sheet_generation":5,"instances":)"
+        R"([{"instance":"e1","role":"decode","model":"m","version":"1"}]})";
+    const object_version first = store_.put(key, text, {}).version;
+    fake_agent& agent = add({"e1", engine_report()});
+    start();
+    ASSERT_TRUE(eventually([&] { return !agent.assignments().empty(); }));
+    EXPECT_EQ(agent.assignments().back().version, first.value);
+    const object_version second = store_.put(key, text, first).version;
+    ASSERT_TRUE(eventually(
+        [&] { return agent.assignments().back().version == second.value; }));
+    EXPECT_EQ(agent.assignments().back().role, fb::engine_role::decode);
+}
+
+TEST_F(entry_path, once_call_goes_to_the_owner_and_follows_it)
+{
+    fake_agent& owner = add({"s2", service_report({}), 0, done}, "desk");
+    const std::string address = to_string(owner.address());
+    const auto elsewhere = [address](const fb::callT&)
+    {
+        auto r = std::make_unique<fb::call_resultT>();
+        r->state = fb::call_state::not_started;
+        r->refusal = fb::refusal::wrong_owner;
+        r->owner_address = address;
+        return r;
+    };
+    add({"s1", service_report(all_shards()), 0, elsewhere}, "desk");
+    start();
+    const net::http_response r = book("k1");
+    EXPECT_EQ(r.status, 201U);
+    EXPECT_EQ(r.body, "ok");
+    EXPECT_EQ(header(r, "Poplar-Ran"), "yes");
+    EXPECT_EQ(owner.take_overs(), std::vector<bool>{false});
+}
+
+TEST_F(entry_path, lost_owner_gives_unknown_then_another_takes_over)
+{
+    fake_agent& owner =
+        add({"s1", service_report(all_shards()), 0, {}}, "desk");
+    fake_agent& next = add({"s2", service_report({}), 0, done}, "desk");
+    start();
+    std::thread killer(
+        [&]
+        {
+            eventually([&] { return !owner.take_overs().empty(); });
+            owner.kill();
+        });
+    const net::http_response lost = book("k1");
+    killer.join();
+    EXPECT_EQ(lost.status, 504U);
+    EXPECT_EQ(header(lost, "Poplar-Ran"), "unknown");
+    EXPECT_TRUE(next.take_overs().empty());
+    EXPECT_EQ(book("k1").status, 201U);
+    EXPECT_EQ(next.take_overs(), std::vector<bool>{true});
+}
+
+TEST_F(entry_path, drain_refuses_new_requests_and_finishes_open_ones)
+{
+    fake_agent& agent = add({"e1", engine_report(), 3});
+    start();
+    const auto x = start_chat(30);
+    ASSERT_TRUE(eventually([&] { return !x->text().empty(); }));
+    std::thread drainer([&] { entry_->drain(); });
+    ASSERT_TRUE(eventually([&] { return !entry_->is_ready(); }));
+    const net::http_response refused = chat(1, false);
+    if (refused.status != 200) // 0 once the socket is closed.
+        EXPECT_TRUE(refused.status == 503 || refused.status == 0);
+    else
+        ADD_FAILURE() << "new work was taken";
+    agent.release();
+    drainer.join();
+    ASSERT_TRUE(eventually([&] { return x->has_ended(); }));
+    EXPECT_EQ(streamed_text(x->text()), whole_answer(30));
+}
+
+} // namespace
+} // namespace poplar::entry
