policy: implement the decision modules

Admission counts prompt and output tokens per resource (long prompts, short prompts, stream slots). A rank's guaranteed share is kept by credit in engine seconds and by stream slots.

Ruled out: returning lent slots only when their streams end.

Other entries' load is the part of a report that exceeds this entry's own work at the time of the measurement, so work sent since a stale report counts.

--- a/policy/admission.hpp
+++ b/policy/admission.hpp
@@ -9,10 +9,10 @@
 #include "policy/work.hpp"
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 #include <array>
 #include <deque>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace poplar::policy
@@ -22,7 +22,7 @@
 /// cover active engines that are not changing.
 struct group_load
 {
-    mono_time measured_at{};
+    mono_time measured_at;
     double prefill_rate = 0; ///< Tokens/s of the engines with role prefill.
     double shared_prefill_rate = 0; ///< Tokens/s beside decoding.
     double decode_rate = 0;         ///< Output tokens/s of all streams.
@@ -33,17 +33,31 @@
     unsigned streams = 0;
 };
 
+/// One engine's part of group_load.
+struct engine_load
+{
+    sheet::engine_role role = sheet::engine_role::unassigned;
+    bool available = true; ///< Active, ready and not changing.
+    token_count queued_prompt_tokens;
+    unsigned streams = 0; ///< Running and waiting.
+};
+
+/// Sums the engines of a group. `part` is this entry's part of the group: 1
+/// divided by the number of entries that share it. `measured_at` is the oldest
+/// measurement among the engines.
+group_load load_of_group(std::span<const engine_load> engines,
+                         const engine_speed& speed, mono_time measured_at,
+                         double part = 1);
+
 struct admission_settings
 {
     std::vector<sheet::rank> ranks;
     engine_speed speed;
+    /// Prompts of at least this length go to prefill engines, if any.
     token_count split_threshold{2048};
     /// Prompt work kept at the engines, in seconds of their speed: enough to
     /// keep them busy between events, little enough that order is decided here.
     double prompt_window = 0.15;
-    /// Part of each unused guaranteed share of stream slots that stays free,
-    /// so that a rank's first requests after a pause start at once.
-    double unlent = 0.1;
     /// Seconds of its guaranteed share that an idle rank can save up.
     double share_burst = 1.0;
     /// Part of the target left for dispatch and the engine's first step.
@@ -61,7 +75,7 @@
     work expected;
     /// Latest time for the first token: the rank's target or the caller's
     /// deadline, whichever is earlier.
-    mono_time first_token_by{};
+    mono_time first_token_by;
 };
 
 enum class admission_verdict
@@ -75,9 +89,11 @@
 {
     none,
     no_capacity,    ///< No engine of the group takes work.
+    too_long,       ///< The prompt alone takes longer than the target.
     prompt_backlog, ///< The prompt would be computed too late.
     stream_backlog, ///< No stream slot becomes free in time.
-    target_passed   ///< Queued, then overtaken by a loss of capacity.
+    target_passed   ///< Queued, then overtaken by more urgent work or a loss
+                    ///< of capacity.
 };
 
 struct admission_decision
@@ -86,6 +102,10 @@
     refusal_cause cause = refusal_cause::none;
     duration expected_wait{}; ///< Until dispatch.
     duration retry_after{};   ///< With refusals: from now.
+    /// Dispatched on the rank's guaranteed share. Pass the engine a priority
+    /// above that of all requests that are not, so that it pauses streams on
+    /// lent slots when all slots are taken: this returns a lent share at once.
+    bool guaranteed = false;
 };
 
 /// A queued request whose turn has come, or that is refused now.
@@ -100,6 +120,8 @@
 {
     work accepted;
     work refused;
+    /// Part of both prompts in prompts of at least split_threshold.
+    token_count long_prompt;
 };
 
 class admission
@@ -111,7 +133,8 @@
     /// `measured_at` is added to it.
     void update(const group_load& load, mono_time now);
 
-    /// Applies new rank targets and shares of an accepted sheet.
+    /// Applies new rank targets and shares of an accepted sheet. Queued
+    /// requests of removed ranks move to the least urgent rank.
     void set_ranks(std::vector<sheet::rank> ranks);
 
     admission_decision offer(const admission_request& request, mono_time now);
@@ -136,72 +159,110 @@
     }
     /// Work waiting in the queue of a rank.
     work backlog(rank_index rank) const;
-    /// Expected time until dispatch of such a request if it were queued now.
-    duration expected_wait(const admission_request& request,
-                           mono_time now) const;
 
 private:
-    enum pool
+    enum resource
     {
-        prefill_pool,
-        shared_pool,
-        pools
+        long_prompt,  ///< Prompt tokens of prefill engines.
+        short_prompt, ///< Prompt tokens beside decoding.
+        output,       ///< Output tokens, in stream slots.
+        resources
     };
+    using amounts = std::array<double, resources>;
+
     struct running_request
     {
-        rank_index rank;
-        pool at = shared_pool;
+        std::size_t rank = 0;
+        bool guaranteed = false;
         work expected;
         bool computing = true; ///< Before the first token.
-        mono_time dispatched{};
     };
     struct own_load
     {
-        mono_time at{};
-        std::array<std::int64_t, pools> prompt{};
+        mono_time at;
+        double long_prompt = 0;
+        double short_prompt = 0;
         unsigned streams = 0;
     };
     struct rank_state
     {
+        explicit rank_state(double quantum) : queue(quantum) {}
+
         fair_queue queue;
-        std::array<double, pools> queued_prompt{};
-        double queued_output = 0;
-        double credit = 0; ///< Engine seconds of its guaranteed share.
+        amounts queued{};
+        /// Prompt tokens at the engines, on lent and on guaranteed slots.
+        std::array<amounts, 2> computing{};
+        std::array<amounts, 2> prompts{}; ///< Number of these prompts.
+        amounts recent{};    ///< Tokens/s dispatched, decaying average.
+        double promised = 0; ///< Engine seconds told to retry later.
+        double credit = 0;   ///< Engine seconds of the guaranteed share.
         unsigned streams = 0;
-        double recent_use = 0; ///< Part of the group, decaying average.
+        unsigned guaranteed_streams = 0;
         rank_work demand;
     };
+    struct forecast
+    {
+        double prompt = 0; ///< Seconds until the prompt is taken up.
+        double stream = 0; ///< Seconds until a stream slot is free.
+
+        double wait() const
+        {
+            return std::max(prompt, stream);
+        }
+    };
 
-    pool pool_of(const work& w) const;
-    double pool_rate(pool at) const;
-    double capacity_rate() const;
+    std::size_t rank_of(rank_index rank) const;
+    double share(std::size_t rank) const;
+    bool is_long(const work& w) const;
+    /// Resource by length alone; stays the same while engines change role.
+    resource prompt_resource(const work& w) const;
+    amounts amounts_of(const work& w) const;
+    /// True when no prefill engine serves: all prompts share one resource.
+    bool joined() const;
+    double amount(const amounts& a, resource of) const;
+    double rate(resource of) const;
+    double prompt_speed(const work& w) const;
     double cost(const work& w) const;
-    double prompt_outstanding(pool at) const;
-    double streams_outstanding() const;
-    unsigned slots_for(std::size_t rank) const;
-    bool has_room(std::size_t rank, const work& w) const;
+    double capacity() const;
+
+    /// Prompt tokens at the engines that go before a request of this rank.
+    double computing_before(std::size_t rank, bool guaranteed,
+                            resource of) const;
+    double prompts_before(std::size_t rank, bool guaranteed, resource of) const;
+    unsigned streams() const;
+    double free_slots() const;
+    /// The next request of the rank can run on its guaranteed share.
+    bool within_share(std::size_t rank) const;
+    bool has_share_slot(std::size_t rank) const;
+    bool has_room(std::size_t rank, bool guaranteed, const work& w) const;
     void advance(mono_time now);
     void note_own_load(mono_time now);
-    double share_for(std::size_t rank) const;
-    double prompt_wait(std::size_t rank, const work& w) const;
-    double stream_wait(std::size_t rank, const work& w) const;
+
+    double lent_rate(std::size_t rank, resource of) const;
+    double drain_rate(std::size_t rank) const;
+    double resource_wait(std::size_t rank, resource of, double ahead,
+                         double own) const;
+    forecast forecast_for(std::size_t rank, const work& w,
+                          double part_ahead) const;
     admission_decision judge(const admission_request& r, mono_time now) const;
-    admission_decision refusal(refusal_cause cause, double wait,
-                               double slack) const;
-    void start(const admission_request& r, mono_time now);
-    void leave_queue(const admission_request& r);
-    std::optional<admission_turn> next_late(mono_time now);
-    std::optional<admission_turn> next_of(std::size_t rank, mono_time now);
+    admission_decision refuse(const admission_request& r, refusal_cause cause,
+                              double seconds_late);
+    void start(const admission_request& r, bool guaranteed);
+    void enqueue(const admission_request& r, mono_time now);
+    admission_request unqueue(std::size_t rank, queued_request q);
+    std::optional<request_id> late_request(std::size_t rank, mono_time now);
+    std::optional<admission_turn> next_late(std::size_t rank, mono_time now);
+    std::optional<std::size_t> next_rank();
 
     admission_settings settings_;
     group_load load_;
-    std::array<double, pools> foreign_prompt_{};
-    double foreign_streams_ = 0;
+    amounts foreign_{}; ///< Load of other entries; streams under `output`.
     std::vector<rank_state> ranks_;
     absl::flat_hash_map<request_id, running_request> running_;
-    own_load own_;
     std::deque<own_load> history_; ///< Own load at recent times.
-    mono_time advanced_{};
+    mono_time advanced_;
+    mono_time projected_; ///< Last check of queued requests' forecasts.
+    bool fits_check_due_ = false;
 };
 
 } // namespace poplar::policy
--- a/policy/fair_queue.hpp
+++ b/policy/fair_queue.hpp
@@ -7,6 +7,8 @@
 #include <deque>
 #include <list>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace poplar::policy
 {
@@ -18,8 +20,9 @@
     double tenant_weight = 1;
     work expected;
     double cost = 0; ///< Engine seconds.
-    mono_time arrived{};
-    mono_time first_token_by{};
+    mono_time arrived;
+    mono_time first_token_by;
+    mono_time start_by; ///< Dispatched later, it misses its target.
 };
 
 /// Each turn adds quantum * weight engine seconds to a tenant's deficit; a
@@ -35,11 +38,20 @@
     queued_request pop_front();
     /// Removes a request anywhere in the queue.
     std::optional<queued_request> remove(const request_id& id);
-    /// Removes one request that cannot be started before its time; `latest`
-    /// returns the last time at which a request can be started.
-    template <class Latest>
-    std::optional<queued_request> pop_late(mono_time now, Latest latest);
+    /// Request with the earliest start_by; null when empty.
+    const queued_request* most_pressing() const;
+    /// Newest request of the tenant with the most work for its weight; null
+    /// when empty.
+    const queued_request* last_of_longest() const;
+    /// Cost that leaves before a new request of this tenant would: all of its
+    /// own, and of each other tenant at most what its weight grants meanwhile.
+    double cost_ahead(const tenant_id& tenant, double weight,
+                      double cost) const;
 
+    double cost() const
+    {
+        return cost_;
+    }
     std::size_t size() const
     {
         return where_.size();
@@ -60,29 +72,22 @@
         double weight = 1;
         double deficit = 0;
         bool has_turn = false; ///< The quantum of this turn was added.
+        double cost = 0;
         std::deque<queued_request> waiting;
     };
     using line_iterator = std::list<tenant_line>::iterator;
 
-    void drop_if_empty(line_iterator line);
     queued_request take(line_iterator line, std::size_t index);
+    std::size_t place(const tenant_line& line, const request_id& id) const;
 
     double quantum_;
     std::list<tenant_line> active_; ///< The front has the turn.
     absl::flat_hash_map<tenant_id, line_iterator> lines_;
     absl::flat_hash_map<request_id, line_iterator> where_;
+    std::set<std::pair<mono_time, request_id>> by_start_;
+    std::set<std::pair<double, tenant_id>> by_length_; ///< Cost by weight.
+    double cost_ = 0;
+    double weights_ = 0; ///< Of tenants with waiting requests.
 };
 
-template <class Latest>
-std::optional<queued_request> fair_queue::pop_late(mono_time now, Latest latest)
-{
-    for (auto line = active_.begin(); line != active_.end(); ++line)
-    {
-        // Only the oldest of each tenant: it has the earliest target.
-        if (latest(line->waiting.front()) < now)
-            return take(line, 0);
-    }
-    return std::nullopt;
-}
-
 } // namespace poplar::policy
--- /dev/null
+++ b/policy/output_estimator.cpp
@@ -0,0 +1,133 @@
+#include "policy/output_estimator.hpp"
+
+#include "base/digest.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace poplar::policy
+{
+
+namespace
+{
+
+/// Answers of an account before its own figures are used alone.
+constexpr std::uint32_t enough_answers = 8;
+/// Relative step of the quantile estimate for each answer.
+constexpr double quantile_step = 0.05;
+
+std::uint64_t account_key(const tenant_id& tenant, const model_id& model,
+                          rank_index rank)
+{
+    return digest(tenant.value, digest(model.value, rank.value));
+}
+
+std::uint64_t model_key(const model_id& model, rank_index rank)
+{
+    return digest(model.value, rank.value);
+}
+
+} // namespace
+
+output_estimator::output_estimator(const output_estimator_settings& settings)
+    : settings_(settings)
+{
+    order_.reserve(settings_.max_accounts);
+}
+
+void output_estimator::add(average& a, double output) const
+{
+    ++a.answers;
+    if (a.answers == 1)
+    {
+        a.mean = static_cast<float>(output);
+        a.upper = static_cast<float>(output * 1.25);
+        return;
+    }
+    const double weight =
+        std::max(settings_.mean_weight, 1.0 / static_cast<double>(a.answers));
+    a.mean += static_cast<float>(weight * (output - a.mean));
+    // Stochastic approximation of the quantile: steps up and down balance
+    // when the quantile's share of answers is below the estimate. Early steps
+    // are larger, so that a poor first answer is corrected soon.
+    const double step =
+        std::max(quantile_step, 1.0 / static_cast<double>(a.answers));
+    const double q = settings_.upper_quantile;
+    const double factor = output > a.upper ? q : q - 1;
+    a.upper = static_cast<float>(a.upper * std::exp(step * factor));
+}
+
+void output_estimator::make_room()
+{
+    // Second chance: an account used since the hand's last pass is kept once.
+    while (true)
+    {
+        hand_ = hand_ % order_.size();
+        account& at = accounts_.at(order_[hand_]);
+        if (!at.used)
+            return;
+        at.used = false;
+        ++hand_;
+    }
+}
+
+void output_estimator::learn(const tenant_id& tenant, const model_id& model,
+                             rank_index rank, token_count output)
+{
+    const double tokens = std::max(1.0, static_cast<double>(output.value));
+    add(models_[model_key(model, rank)], tokens);
+    const std::uint64_t key = account_key(tenant, model, rank);
+    auto it = accounts_.find(key);
+    if (it == accounts_.end())
+    {
+        if (settings_.max_accounts == 0)
+            return;
+        if (order_.size() < settings_.max_accounts)
+        {
+            order_.push_back(key);
+        }
+        else
+        {
+            make_room();
+            accounts_.erase(order_[hand_]);
+            order_[hand_] = key;
+            ++hand_;
+        }
+        it = accounts_.try_emplace(key).first;
+    }
+    it->second.used = true;
+    add(it->second.figures, tokens);
+}
+
+output_estimate output_estimator::expect(const tenant_id& tenant,
+                                         const model_id& model, rank_index rank,
+                                         token_count max_tokens) const
+{
+    double mean = settings_.first_guess;
+    double upper = settings_.first_guess * 2;
+    const auto m = models_.find(model_key(model, rank));
+    if (m != models_.end())
+    {
+        mean = m->second.mean;
+        upper = m->second.upper;
+    }
+    const auto it = accounts_.find(account_key(tenant, model, rank));
+    if (it != accounts_.end())
+    {
+        const average& own = it->second.figures;
+        const double weight =
+            std::min(1.0, static_cast<double>(own.answers) / enough_answers);
+        mean += weight * (own.mean - mean);
+        upper += weight * (own.upper - upper);
+    }
+    const std::int64_t most = std::max<std::int64_t>(1, max_tokens.value);
+    const auto bounded = [most](double tokens)
+    {
+        return token_count(
+            std::clamp<std::int64_t>(std::llround(tokens), 1, most));
+    };
+    return {bounded(mean), bounded(std::max(mean, upper))};
+}
+
+} // namespace poplar::policy
--- a/policy/prefix_index.hpp
+++ b/policy/prefix_index.hpp
@@ -14,15 +14,18 @@
 /// Index of an engine in the router's table.
 using engine_index = std::uint32_t;
 
-/// Bounded per engine: the blocks added first are forgotten first.
+/// Bounded per engine. Blocks not used for the longest time are forgotten
+/// first (approximated by second chance), as engines do.
 class prefix_index
 {
 public:
-    /// Holders kept for one block; further engines are not recorded.
-    static constexpr std::size_t max_holders = 16;
+    /// Holders kept for one block; further engines are not recorded. Enough
+    /// for every engine of today's groups to hold a shared style guide.
+    static constexpr std::size_t max_holders = 32;
 
     explicit prefix_index(std::size_t blocks_per_engine = 4096);
 
+    /// Records a block, or that a known one was used again.
     void add(engine_index engine, std::uint64_t block);
     void remove(engine_index engine, std::uint64_t block);
     /// Forgets all blocks of an engine.
@@ -35,25 +38,39 @@
                       std::span<const std::uint64_t> blocks) const;
     /// Length of the longest known prefix, and the engines that hold it.
     std::size_t longest(std::span<const std::uint64_t> blocks,
-                        std::vector<engine_index>& holders) const;
+                        std::vector<engine_index>& engines) const;
 
     std::size_t blocks() const
     {
         return holders_.size();
     }
+    std::size_t blocks_of(engine_index engine) const;
     std::size_t memory_bytes() const;
 
 private:
+    struct holder
+    {
+        engine_index engine = 0;
+        std::uint32_t slot = 0; ///< In the engine's ring.
+    };
+    struct slot
+    {
+        std::uint64_t block = 0;
+        bool used = false; ///< Since the replacement hand passed.
+        bool live = false;
+    };
     struct engine_blocks
     {
-        std::vector<std::uint64_t> ring; ///< In order of addition.
-        std::size_t oldest = 0;
+        std::vector<slot> ring;
+        std::vector<std::uint32_t> free;
+        std::uint32_t hand = 0;
     };
 
-    void forget(engine_index engine, std::uint64_t block);
+    std::uint32_t take_slot(engine_index engine);
+    void unlink(engine_index engine, std::uint64_t block);
 
     std::size_t blocks_per_engine_;
-    absl::flat_hash_map<std::uint64_t, std::vector<engine_index>> holders_;
+    absl::flat_hash_map<std::uint64_t, std::vector<holder>> holders_;
     std::vector<engine_blocks> engines_;
 };
 
--- a/policy/role_planner.hpp
+++ b/policy/role_planner.hpp
@@ -4,7 +4,6 @@
 #include "policy/work.hpp"
 
 #include <absl/container/flat_hash_map.h>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,32 +16,35 @@
     /// Time an engine is away for a change, until measured.
     duration change_time{std::chrono::seconds(5)};
     /// Life of a mix assumed until changes of the mix were seen.
-    duration first_mix_life{std::chrono::minutes(3)};
-    /// Time constants of the demand average.
-    duration demand_fast{std::chrono::seconds(4)};
-    duration demand_slow{std::chrono::seconds(30)};
+    duration first_mix_life{std::chrono::minutes(2)};
+    /// Time constant of the demand average.
+    duration demand_average{std::chrono::seconds(5)};
     /// A wish must last this long; reports may lag by seconds.
-    duration confirm{std::chrono::seconds(4)};
+    duration confirm{std::chrono::seconds(3)};
     /// An engine that just changed keeps its role this long.
-    duration rest{std::chrono::seconds(20)};
+    duration rest{std::chrono::seconds(15)};
     /// A change that takes longer is stuck; the engine counts as away.
     duration stuck_after{std::chrono::seconds(30)};
     double target_utilisation = 0.85;
     /// The gain must exceed the cost by this factor.
     double gain_over_cost = 1.5;
-    /// Part of the group's work that a change must win.
-    double smallest_gain = 0.02;
+    /// Part of the offered worth that a change must win.
+    double smallest_gain = 0.01;
+    /// Worth of spare room: of two splits that serve all work, the one whose
+    /// busier role is less busy.
+    double room_worth = 0.05;
 };
 
 struct planned_engine
 {
     instance_id instance;
     failure_domain_id failure_domain;
+    /// Assigned role; while changing, the new one.
     sheet::engine_role role = sheet::engine_role::unassigned;
     sheet::upstream_state state = sheet::upstream_state::active;
     bool reachable = true;
-    bool changing = false;
-    mono_time changing_since{};
+    bool changing = false; ///< The engine does not have its role yet.
+    mono_time changing_since;
     unsigned streams = 0;
     token_count queued_prompt;
     token_count cached; ///< Tokens in its prefix cache, lost by a change.
@@ -70,9 +72,8 @@
 {
     first_assignment, ///< The engine had no role.
     fixed_by_sheet,
-    prompt_shortage, ///< Prompts wait for prefill engines.
-    stream_shortage, ///< Streams wait for decode engines.
-    domain_cover     ///< The failure domain lacks a role.
+    prompt_shortage, ///< More worth is served with one more prefill engine.
+    stream_shortage  ///< More worth is served with one more decode engine.
 };
 
 enum class hold_reason
@@ -90,9 +91,10 @@
 /// Figures behind a decision, for the operators' record.
 struct plan_figures
 {
-    unsigned prefill_engines = 0; ///< Able to serve now.
+    unsigned prefill_engines = 0; ///< Serving, or changing to this role.
     unsigned stream_engines = 0;
-    unsigned away = 0; ///< Changing, stuck, unreachable or not active.
+    unsigned changing = 0; ///< Of both of the above.
+    unsigned away = 0;     ///< Stuck, unreachable or not active.
     unsigned wanted_prefill = 0;
     double prompt_tokens_per_second = 0;
     double long_prompt_tokens_per_second = 0;
@@ -125,7 +127,7 @@
 std::string to_string(hold_reason reason);
 
 /// One object per group at its control owner. A new owner starts without
-/// history and makes no change before `confirm` has passed.
+/// history and changes no working engine before `confirm` has passed.
 class role_planner
 {
 public:
@@ -137,41 +139,65 @@
     void change_took(duration d);
 
 private:
-    struct rates
+    /// Average of offered work in tokens/s.
+    struct rank_rates
     {
         double prompt = 0;
         double long_prompt = 0;
         double output = 0;
     };
-    struct census;
+    /// Engines of one failure domain by role.
+    struct domain_count
+    {
+        unsigned prefill = 0; ///< Serving now.
+        unsigned streams = 0;
+    };
+    struct census
+    {
+        unsigned prefill = 0;
+        unsigned streams = 0;
+        unsigned changing = 0; ///< Includes stuck ones.
+        unsigned away = 0;
+        std::vector<const planned_engine*> unassigned;
+        absl::flat_hash_map<failure_domain_id, domain_count> domains;
+    };
+    struct split
+    {
+        double served = 0; ///< Part of the offered worth, 0..1.
+        double busiest = 0;
+        double value = 0;
+    };
 
     void learn_demand(const planner_input& input);
-    void learn_mix_life(unsigned wanted, mono_time now);
+    void learn_direction(int direction, mono_time now);
     census count(const planner_input& input, mono_time now) const;
-    rates demand_rates() const;
-    double served(const rates& r, double prefill, double streams) const;
-    unsigned best_prefill(const rates& r, unsigned engines, unsigned least,
-                          unsigned most) const;
-    void plan_fixed(const planner_input& input, const census& c,
-                    unsigned wanted, role_plan& plan) const;
-    void plan_first(const planner_input& input, census& c,
-                    role_plan& plan) const;
-    void plan_by_mix(const planner_input& input, const census& c, mono_time now,
-                     role_plan& plan);
-    std::optional<instance_id> candidate(const planner_input& input,
-                                         const census& c,
-                                         sheet::engine_role from, mono_time now,
-                                         hold_reason& hold) const;
+    split value_of(const planner_input& input, unsigned prefill,
+                   unsigned streams) const;
+    unsigned best_prefill(const planner_input& input, unsigned now_prefill,
+                          unsigned engines, unsigned domains) const;
+    double offered_engine_seconds() const;
+    void assign_first(const planner_input& input, census& c,
+                      role_plan& plan) const;
+    void follow_mix(const planner_input& input, const census& c, mono_time now,
+                    role_plan& plan);
+    void follow_sheet(const planner_input& input, const census& c,
+                      mono_time now, role_plan& plan);
+    bool worth_changing(const planner_input& input, const census& c,
+                        role_plan& plan) const;
+    void change(const planner_input& input, const census& c,
+                sheet::engine_role to, unsigned most, role_reason reason,
+                mono_time now, role_plan& plan);
+    const planned_engine* candidate(const planner_input& input, const census& c,
+                                    sheet::engine_role to, mono_time now,
+                                    role_plan& plan) const;
 
     role_planner_settings settings_;
-    rates fast_;
-    rates slow_;
-    bool seen_demand_ = false;
-    std::optional<int> wish_; ///< Direction: 1 more prefill, -1 fewer.
-    mono_time wish_since_{};
+    std::vector<rank_rates> rates_;
+    int wish_ = 0; ///< 1: more prefill engines, -1: fewer, 0: none.
+    mono_time wish_since_;
     int last_direction_ = 0;
-    mono_time last_turn_{}; ///< Time the direction last reversed.
-    double mix_life_;       ///< Seconds.
+    mono_time last_reversal_;
+    double mix_life_; ///< Seconds.
     double change_seconds_;
     absl::flat_hash_map<instance_id, mono_time> changed_at_;
 };
--- /dev/null
+++ b/policy/router.cpp
@@ -0,0 +1,311 @@
+#include "policy/router.hpp"
+
+#include <algorithm>
+
+namespace poplar::policy
+{
+
+namespace
+{
+
+/// Score added for an engine whose reports stopped.
+constexpr double silent_seconds = 30;
+/// Score added for each stream above the slots of an engine, in parts of the
+/// slots: a full engine makes the stream wait for a whole answer.
+constexpr double overfull_seconds = 5;
+/// Entries of own work kept per engine; older ones count until the report.
+constexpr std::size_t most_sent = 512;
+
+} // namespace
+
+router::router(const router_settings& settings)
+    : settings_(settings), index_(settings.blocks_per_engine)
+{
+}
+
+std::vector<engine_index>* router::list_of(const engine_info& info)
+{
+    if (!info.available || info.role == sheet::engine_role::unassigned)
+        return nullptr;
+    role_lists& lists = groups_[info.group];
+    return computes_prompts_only(info.role) ? &lists.prompts : &lists.streams;
+}
+
+void router::enlist(engine_index engine)
+{
+    std::vector<engine_index>* list = list_of(engines_[engine].info);
+    if (!list)
+        return;
+    engines_[engine].place = static_cast<std::uint32_t>(list->size());
+    list->push_back(engine);
+}
+
+void router::unlist(engine_index engine)
+{
+    std::vector<engine_index>* list = list_of(engines_[engine].info);
+    if (!list)
+        return;
+    const std::uint32_t place = engines_[engine].place;
+    (*list)[place] = list->back();
+    engines_[list->back()].place = place;
+    list->pop_back();
+}
+
+engine_index router::set_engine(const engine_info& info)
+{
+    const auto [it, added] = by_instance_.try_emplace(info.instance, 0);
+    if (added)
+    {
+        if (free_.empty())
+        {
+            it->second = static_cast<engine_index>(engines_.size());
+            engines_.emplace_back();
+        }
+        else
+        {
+            it->second = free_.back();
+            free_.pop_back();
+        }
+        engines_[it->second] = {};
+        engines_[it->second].present = true;
+    }
+    else
+    {
+        unlist(it->second);
+        if (engines_[it->second].info.role != info.role)
+            index_.clear(it->second);
+    }
+    engines_[it->second].info = info;
+    enlist(it->second);
+    return it->second;
+}
+
+void router::remove_engine(const instance_id& instance)
+{
+    const auto it = by_instance_.find(instance);
+    if (it == by_instance_.end())
+        return;
+    unlist(it->second);
+    index_.clear(it->second);
+    engines_[it->second] = {};
+    free_.push_back(it->second);
+    by_instance_.erase(it);
+}
+
+std::optional<engine_index> router::find(const instance_id& instance) const
+{
+    const auto it = by_instance_.find(instance);
+    if (it == by_instance_.end())
+        return std::nullopt;
+    return it->second;
+}
+
+const engine_info& router::info(engine_index engine) const
+{
+    return engines_.at(engine).info;
+}
+
+void router::report(engine_index engine, const engine_report& r, mono_time now)
+{
+    engine_state& e = engines_.at(engine);
+    if (!e.present || r.measured_at < e.reported.measured_at)
+        return;
+    e.reported = r;
+    e.received = now;
+    while (!e.since.empty() && e.since.front().at <= r.measured_at)
+    {
+        e.sent_prompt -= e.since.front().prompt;
+        e.sent_streams -= e.since.front().streams;
+        e.since.pop_front();
+    }
+}
+
+void router::cache_events(engine_index engine,
+                          std::span<const cache_change> events, bool lost)
+{
+    engine_state& e = engines_.at(engine);
+    if (!e.present)
+        return;
+    if (lost)
+    {
+        index_.clear(engine);
+        e.next_sequence = 0;
+    }
+    for (const cache_change& change : events)
+    {
+        if (change.sequence < e.next_sequence)
+            continue;
+        if (e.next_sequence != 0 && change.sequence > e.next_sequence)
+            index_.clear(engine);
+        e.next_sequence = change.sequence + 1;
+        if (change.added)
+            index_.add(engine, change.block);
+        else
+            index_.remove(engine, change.block);
+    }
+}
+
+std::vector<engine_index> router::candidates(
+    const route_request& request, const std::vector<engine_index>& list,
+    const std::vector<engine_index>& holders, random_source& random) const
+{
+    std::vector<engine_index> result;
+    const auto add = [&](engine_index engine)
+    {
+        if (std::ranges::find(request.excluded, engine) ==
+            request.excluded.end())
+            result.push_back(engine);
+    };
+    if (list.size() <= settings_.weigh_all_up_to)
+    {
+        std::ranges::for_each(list, add);
+        return result;
+    }
+    const std::size_t first = random() % list.size();
+    for (unsigned i = 0; i < settings_.random_choices; ++i)
+        add(list[random() % list.size()]);
+    for (std::size_t i = 0;
+         i < std::min<std::size_t>(holders.size(), settings_.most_holders); ++i)
+    {
+        const engine_index engine = holders[(first + i) % holders.size()];
+        const engine_state& e = engines_[engine];
+        if (e.place < list.size() && list[e.place] == engine)
+            add(engine);
+    }
+    for (std::size_t i = 0; result.empty() && i < list.size(); ++i)
+        add(list[(first + i) % list.size()]);
+    return result;
+}
+
+std::size_t
+router::cached_blocks(engine_index engine, const route_request& request,
+                      std::size_t longest,
+                      const std::vector<engine_index>& holders) const
+{
+    if (request.kind == route_kind::decode || longest == 0)
+        return 0;
+    if (std::ranges::find(holders, engine) != holders.end())
+        return longest;
+    return index_.match(engine, request.blocks.first(longest));
+}
+
+double router::start_seconds(const engine_state& e, const route_request& r,
+                             token_count cached, mono_time now) const
+{
+    double speed = settings_.speed.prefill_tokens_per_second;
+    if (!computes_prompts_only(e.info.role))
+        speed *= settings_.speed.shared_prefill;
+    const std::int64_t queued = std::max<std::int64_t>(
+        0, e.reported.queued_prompt_tokens.value + e.sent_prompt);
+    const std::int64_t own =
+        r.kind == route_kind::decode
+            ? 0
+            : std::max<std::int64_t>(0, r.prompt.value - cached.value);
+    double start = static_cast<double>(queued + own) / speed;
+    if (e.received != mono_time() &&
+        now - e.received > settings_.report_timeout)
+        start += silent_seconds;
+    return start;
+}
+
+double router::score(const engine_state& e, const route_request& r,
+                     double start) const
+{
+    double result = start;
+    if (r.kind != route_kind::prefill)
+    {
+        const double streams = std::max(
+            0.0, static_cast<double>(e.reported.streams) + e.sent_streams);
+        const double used = streams / settings_.speed.max_streams;
+        result += used * settings_.stream_seconds;
+        result += std::max(0.0, used - 1 + 1.0 / settings_.speed.max_streams) *
+                  overfull_seconds;
+        if (e.reported.kv_pieces_free <= 0)
+            result += overfull_seconds;
+    }
+    if (!r.near.empty() && e.info.failure_domain != r.near)
+        result += settings_.other_domain_seconds;
+    return result;
+}
+
+std::optional<route> router::choose(const route_request& request, mono_time now,
+                                    random_source& random) const
+{
+    const auto group = groups_.find(request.group);
+    if (group == groups_.end())
+        return std::nullopt;
+    const std::vector<engine_index>& list = request.kind == route_kind::prefill
+                                                ? group->second.prompts
+                                                : group->second.streams;
+    std::vector<engine_index> holders;
+    const std::size_t longest = request.kind == route_kind::decode
+                                    ? 0
+                                    : index_.longest(request.blocks, holders);
+    std::optional<route> best;
+    double best_score = 0;
+    for (engine_index engine : candidates(request, list, holders, random))
+    {
+        const engine_state& e = engines_[engine];
+        const std::size_t n = cached_blocks(engine, request, longest, holders);
+        const token_count cached(static_cast<std::int64_t>(n * block_tokens));
+        const double start = start_seconds(e, request, cached, now);
+        const double s = score(e, request, start);
+        if (best && s >= best_score)
+            continue;
+        best = route{engine, cached, from_seconds(start)};
+        best_score = s;
+    }
+    return best;
+}
+
+void router::add_sent(engine_index engine, const sent_work& w)
+{
+    engine_state& e = engines_.at(engine);
+    e.sent_prompt += w.prompt;
+    e.sent_streams += w.streams;
+    if (e.since.size() < most_sent)
+        e.since.push_back(w);
+    else
+    {
+        // Merged into the newest: it stays counted for longer, never shorter.
+        e.since.back().at = w.at;
+        e.since.back().prompt += w.prompt;
+        e.since.back().streams += w.streams;
+    }
+}
+
+void router::dispatched(engine_index engine, const route_request& request,
+                        token_count uncached, mono_time now)
+{
+    if (!engines_.at(engine).present)
+        return;
+    const std::int64_t prompt =
+        request.kind == route_kind::decode ? 0 : uncached.value;
+    const int streams = request.kind == route_kind::prefill ? 0 : 1;
+    add_sent(engine, {now, prompt, streams});
+    for (std::uint64_t block : request.blocks)
+        index_.add(engine, block);
+}
+
+void router::finished(engine_index engine, mono_time now)
+{
+    if (engine < engines_.size() && engines_[engine].present &&
+        !computes_prompts_only(engines_[engine].info.role))
+        add_sent(engine, {now, 0, -1});
+}
+
+std::size_t router::memory_bytes() const
+{
+    std::size_t bytes = index_.memory_bytes();
+    bytes += engines_.capacity() * sizeof(engine_state);
+    for (const engine_state& e : engines_)
+        bytes += e.since.size() * sizeof(sent_work) +
+                 e.info.instance.value.capacity() +
+                 e.info.group.value.capacity() +
+                 e.info.failure_domain.value.capacity();
+    bytes += by_instance_.capacity() *
+             (sizeof(instance_id) + sizeof(engine_index) + 1);
+    return bytes;
+}
+
+} // namespace poplar::policy
--- a/policy/router.hpp
+++ b/policy/router.hpp
@@ -21,14 +21,15 @@
 struct router_settings
 {
     engine_speed speed;
-    unsigned random_choices = 4; ///< Engines drawn beside prefix holders.
-    unsigned most_holders = 6;   ///< Prefix holders that are weighed.
+    unsigned random_choices = 4;   ///< Engines drawn beside prefix holders.
+    unsigned weigh_all_up_to = 24; ///< Smaller groups are weighed whole.
+    unsigned most_holders = 6;     ///< Prefix holders that are weighed.
     std::size_t blocks_per_engine = 4096;
     /// Added for an engine in another failure domain than the entry.
     double other_domain_seconds = 0.002;
     /// Seconds per stream slot in use, so that streams spread out.
     double stream_seconds = 0.25;
-    /// After this time without a report an engine is not chosen.
+    /// After this time without a report an engine is the last choice.
     duration report_timeout{std::chrono::seconds(6)};
 };
 
@@ -44,7 +45,7 @@
 /// Load of an engine as it reported it.
 struct engine_report
 {
-    mono_time measured_at{};
+    mono_time measured_at;
     token_count queued_prompt_tokens;
     unsigned streams = 0; ///< Running and waiting.
     std::int64_t kv_pieces_free = 1;
@@ -120,7 +121,7 @@
 private:
     struct sent_work
     {
-        mono_time at{};
+        mono_time at;
         std::int64_t prompt = 0;
         int streams = 0; ///< 1 for a start, -1 for an end.
     };
@@ -129,7 +130,7 @@
         engine_info info;
         bool present = false;
         engine_report reported;
-        mono_time received{};
+        mono_time received;
         std::deque<sent_work> since; ///< Since the last report.
         std::int64_t sent_prompt = 0;
         int sent_streams = 0;
@@ -145,11 +146,19 @@
     std::vector<engine_index>* list_of(const engine_info& info);
     void enlist(engine_index engine);
     void unlist(engine_index engine);
-    void forget_sent(engine_state& e, mono_time measured_at);
-    bool usable(const engine_state& e, const route_request& r,
-                mono_time now) const;
+    void add_sent(engine_index engine, const sent_work& w);
+    std::vector<engine_index> candidates(
+        const route_request& request, const std::vector<engine_index>& list,
+        const std::vector<engine_index>& holders, random_source& random) const;
+    /// Leading blocks of the request that the engine is known to hold.
+    std::size_t cached_blocks(engine_index engine, const route_request& request,
+                              std::size_t longest,
+                              const std::vector<engine_index>& holders) const;
     double start_seconds(const engine_state& e, const route_request& r,
-                         std::size_t cached_blocks, mono_time now) const;
+                         token_count cached, mono_time now) const;
+    /// Start time and the costs that decide between engines, in seconds.
+    double score(const engine_state& e, const route_request& r,
+                 double start) const;
 
     router_settings settings_;
     std::vector<engine_state> engines_;
