--- /dev/null
+++ b/tests/watcher_test.cpp
@@ -0,0 +1,214 @@
+// Guards against changes that a watcher misses, reports twice or out of order,
+// and against watchers that stop following after an outage.
+#include "platform/memory_store.hpp"
+#include "platform/watcher.hpp"
+
+#include <atomic>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace poplar::platform
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Keeps what a watcher reports.
+class recorder
+{
+public:
+    watcher_hooks hooks()
+    {
+        return {[this](const object& o) { add(o); },
+                [this](bool up)
+                {
+                    add_connection(up);
+                }};
+    }
+
+    /// Waits until `count` objects were reported.
+    bool wait_for(std::size_t count)
+    {
+        absl::MutexLock lock(&mutex_);
+        const auto enough = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+        {
+            return objects_.size() >= count;
+        };
+        return mutex_.AwaitWithTimeout(absl::Condition(&enough),
+                                       absl::Seconds(10));
+    }
+
+    bool wait_for_connections(std::size_t count)
+    {
+        absl::MutexLock lock(&mutex_);
+        const auto enough = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+        {
+            return connections_.size() >= count;
+        };
+        return mutex_.AwaitWithTimeout(absl::Condition(&enough),
+                                       absl::Seconds(10));
+    }
+
+    std::vector<object> objects() const
+    {
+        absl::MutexLock lock(&mutex_);
+        return objects_;
+    }
+
+    std::vector<bool> connections() const
+    {
+        absl::MutexLock lock(&mutex_);
+        return connections_;
+    }
+
+private:
+    void add(const object& o)
+    {
+        absl::MutexLock lock(&mutex_);
+        objects_.push_back(o);
+    }
+
+    void add_connection(bool up)
+    {
+        absl::MutexLock lock(&mutex_);
+        connections_.push_back(up);
+    }
+
+    mutable absl::Mutex mutex_;
+    std::vector<object> objects_ ABSL_GUARDED_BY(mutex_);
+    std::vector<bool> connections_ ABSL_GUARDED_BY(mutex_);
+};
+
+watcher_options quick(const std::string& prefix)
+{
+    return {prefix, milliseconds(200), milliseconds(5), milliseconds(20)};
+}
+
+TEST(watcher, reports_what_exists_and_then_each_change)
+{
+    memory_store store;
+    store.put(object_key("a/1"), "x", object_version());
+    recorder seen;
+    watcher w(store, quick("a/"), seen.hooks());
+    ASSERT_TRUE(seen.wait_for(1));
+    const put_result second =
+        store.put(object_key("a/2"), "y", object_version());
+    ASSERT_TRUE(seen.wait_for(2));
+    store.put(object_key("b/1"), "z", object_version());
+    store.remove(object_key("a/2"), second.version);
+    ASSERT_TRUE(seen.wait_for(3));
+    const auto objects = seen.objects();
+    EXPECT_EQ(objects[0].value, "x");
+    EXPECT_EQ(objects[1].version, second.version);
+    EXPECT_EQ(objects[2].key, object_key("a/2"));
+    EXPECT_EQ(objects[2].version, object_version());
+    EXPECT_TRUE(w.connected());
+}
+
+TEST(watcher, reports_an_outage_and_follows_on_after_it)
+{
+    memory_store store;
+    recorder seen;
+    watcher w(store, quick(""), seen.hooks());
+    ASSERT_TRUE(seen.wait_for_connections(1));
+    store.set_faults({true, 0, 0});
+    ASSERT_TRUE(seen.wait_for_connections(2));
+    EXPECT_FALSE(w.connected());
+    store.set_faults({});
+    store.put(object_key("a"), "x", object_version());
+    ASSERT_TRUE(seen.wait_for(1));
+    ASSERT_TRUE(seen.wait_for_connections(3));
+    EXPECT_EQ(seen.connections(), (std::vector<bool>{true, false, true}));
+}
+
+/// Answers the next watch as too old, after `before` has run.
+class compacting_store : public memory_store
+{
+public:
+    std::function<void()> before;
+    std::atomic<bool> compact{false};
+
+    object_list watch(const std::string& prefix, object_version after,
+                      duration timeout) override
+    {
+        if (!compact.exchange(false))
+            return memory_store::watch(prefix, after, timeout);
+        before();
+        throw store_error(store_failure::compacted, "too old");
+    }
+};
+
+TEST(watcher, lists_again_after_compaction_and_reports_removals)
+{
+    compacting_store store;
+    const put_result first = store.put(object_key("a"), "x", object_version());
+    store.put(object_key("b"), "y", object_version());
+    store.before = [&]
+    {
+        store.remove(object_key("a"), first.version);
+        store.put(object_key("c"), "z", object_version());
+    };
+    recorder seen;
+    watcher w(store, quick(""), seen.hooks());
+    ASSERT_TRUE(seen.wait_for(2));
+    store.compact = true;
+    ASSERT_TRUE(seen.wait_for(4));
+    const auto objects = seen.objects();
+    EXPECT_EQ(objects[2].key, object_key("a"));
+    EXPECT_EQ(objects[2].version, object_version());
+    EXPECT_EQ(objects[3].key, object_key("c"));
+    EXPECT_EQ(objects.size(), 4U);
+}
+
+TEST(watcher, ends_at_once_when_watches_are_stopped)
+{
+    memory_store store;
+    recorder seen;
+    auto w = std::make_unique<watcher>(
+        store, watcher_options{"", seconds(60), milliseconds(5), seconds(60)},
+        seen.hooks());
+    ASSERT_TRUE(seen.wait_for_connections(1));
+    const mono_time before = now();
+    store.stop_watches();
+    w.reset();
+    EXPECT_LT(now() - before, seconds(10));
+}
+
+RC_GTEST_PROP(watcher_property, versions_of_a_key_rise_and_the_last_is_seen, ())
+{
+    const auto writes =
+        *rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, 4U));
+    memory_store store;
+    recorder seen;
+    std::map<object_key, object_version> last;
+    {
+        watcher w(store, quick(""), seen.hooks());
+        for (const unsigned n : writes)
+        {
+            const object_key key(std::string(1, static_cast<char>('a' + n)));
+            if (n == 0)
+                store.set_faults({true, 0, 0});
+            store.set_faults({});
+            last[key] = store.put(key, "x", last[key]).version;
+        }
+        const object_key end("end");
+        last[end] = store.put(end, "", object_version()).version;
+        const mono_time limit = now() + seconds(10);
+        while (now() < limit &&
+               (seen.objects().empty() || seen.objects().back().key != end))
+            std::this_thread::sleep_for(milliseconds(1));
+        store.stop_watches();
+    }
+    std::map<object_key, object_version> reported;
+    for (const object& o : seen.objects())
+    {
+        RC_ASSERT(reported[o.key] < o.version);
+        reported[o.key] = o.version;
+    }
+    RC_ASSERT(reported == last);
+}
+
+} // namespace
+} // namespace poplar::platform
