--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -89,9 +89,9 @@
         fault_case{{frame_magic, 1, 2, 0xffffffff}, protocol_fault::too_long},
         fault_case{{frame_magic, 1, 2, 0}, protocol_fault::bad_payload}));
 
-/// Reads all frames; true when the bytes were sound or failed with the typed
-/// error.
-bool reads_or_fails_typed(const std::string& bytes)
+/// Reads all frames; false when they failed with the typed error. Any other
+/// exception fails the property that calls this.
+bool reads_soundly(const std::string& bytes)
 {
     frame_reader reader;
     frame f;
@@ -108,19 +108,20 @@
     }
     catch (const protocol_error&)
     {
+        return false;
     }
     return true;
 }
 
-RC_GTEST_PROP(frame_reader, survives_random_bytes, (std::string bytes))
+RC_GTEST_PROP(frame_reader, survives_random_bytes, (const std::string& bytes))
 {
-    RC_ASSERT(reads_or_fails_typed(bytes));
+    RC_CLASSIFY(reads_soundly(bytes));
     std::string framed;
     append_frame(framed, message_type::open_stream, bytes);
-    RC_ASSERT(reads_or_fails_typed(framed));
+    RC_CLASSIFY(reads_soundly(framed));
 }
 
-RC_GTEST_PROP(frame_reader, survives_mutated_frames, (std::string text))
+RC_GTEST_PROP(frame_reader, survives_mutated_frames, (const std::string& text))
 {
     fb::open_streamT open;
     open.request = std::make_unique<fb::request_id>(1, 2);
@@ -129,14 +130,21 @@
     fb::callT call;
     call.headers.push_back(std::make_unique<fb::header_fieldT>());
     call.path = text;
-    std::string bytes = encode(open) + encode(call);
-    const auto changes = *rc::gen::inRange(1, 9);
-    for (int i = 0; i < changes; ++i)
+    const std::string sound = encode(open) + encode(call);
+    RC_ASSERT(reads_soundly(sound));
+    int unnoticed = 0;
+    for (int round = 0; round < 50; ++round)
     {
-        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
-        bytes[at] = *rc::gen::arbitrary<char>();
+        std::string bytes = sound;
+        const auto changes = *rc::gen::inRange(1, 9);
+        for (int i = 0; i < changes; ++i)
+        {
+            const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            bytes[at] = *rc::gen::arbitrary<char>();
+        }
+        unnoticed += reads_soundly(bytes) ? 1 : 0;
     }
-    RC_ASSERT(reads_or_fails_typed(bytes));
+    RC_CLASSIFY(unnoticed > 0);
 }
 
 TEST(frame, refuses_too_long_payload)
--- a/wire/worker.hpp
+++ b/wire/worker.hpp
@@ -93,7 +93,7 @@
     std::atomic<std::thread::id> thread_id_;
     std::atomic<bool> stopping_{false};
     std::atomic<std::uint64_t> next_id_{1};
-    mono_time next_tick_{};
+    mono_time next_tick_;
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<watched>> watched_;
 
     absl::Mutex mutex_;
