Add the net package: HTTP server and client

Cause: callers, operators and upstreams speak HTTP, and answers are given late, in pieces and from other threads.

The admin server sets its hook before it starts to listen.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -160,7 +160,9 @@
     mutable absl::Mutex mutex;
     bool is_ready ABSL_GUARDED_BY(mutex) = false;
     std::string reason ABSL_GUARDED_BY(mutex) = "starting";
-    net::http_handler other;
+    const net::http_handler other;
+
+    explicit state(net::http_handler handler) : other(std::move(handler)) {}
 
     net::http_response readiness() const
     {
@@ -186,12 +188,11 @@
 };
 
 admin_server::admin_server(const ip_address& at, net::http_handler other)
-    : state_(std::make_shared<state>()),
+    : state_(std::make_shared<state>(std::move(other))),
       server_({at, 1}, [state = state_](net::http_request request,
                                         const net::responder_ptr& answer)
               { state->handle(std::move(request), answer); })
 {
-    state_->other = std::move(other);
 }
 
 void admin_server::set_ready(bool ready, const std::string& reason)
--- /dev/null
+++ b/net/socket.hpp
@@ -0,0 +1,15 @@
+/// Listening TCP sockets.
+#pragma once
+
+#include "base/address.hpp"
+
+namespace poplar::net
+{
+
+/// Returns a listening socket; throws system_failure.
+int listen_on(const ip_address& at);
+
+/// Address to which a socket is bound; throws system_failure.
+ip_address local_address(int socket);
+
+} // namespace poplar::net
