--- /dev/null
+++ b/agent/main.cpp
@@ -0,0 +1,43 @@
+// poplar-agent: the process beside one upstream.
+#include "agent/agent.hpp"
+#include "observe/log.hpp"
+
+namespace
+{
+
+using namespace poplar;
+
+constexpr duration superseded_check = std::chrono::milliseconds(200);
+
+daemon::exit_code serve(settings::reader& all, daemon::stop_signal& stop)
+{
+    const agent::agent_settings settings = agent::parse_settings(all);
+    const auto store = platform::make_http_store({settings.platform});
+    agent::agent a(settings, *store);
+    daemon::print_listening("poplar-agent", a.admin_address(),
+                            a.inner_address());
+    observe::log(observe::event::started,
+                 {{"instance", settings.instance.value}});
+    while (!stop.wait_for(superseded_check) && !a.is_superseded())
+    {
+    }
+    observe::log(observe::event::shutdown_started);
+    a.shut_down();
+    observe::log(observe::event::shutdown_finished);
+    return daemon::exit_code::success;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    daemon::program p;
+    p.name = "poplar-agent";
+    p.description = "serves one upstream to the entries";
+    p.check = [](settings::reader& all)
+    {
+        agent::parse_settings(all);
+    };
+    p.serve = serve;
+    return daemon::run(p, argc, argv);
+}
--- a/tests/order_machine_test.cpp
+++ b/tests/order_machine_test.cpp
@@ -117,13 +117,13 @@
 
     void assign(unsigned n)
     {
-        history_.push_back(make_assignment(history_.size() + 1, n));
+        history.push_back(make_assignment(history.size() + 1, n));
     }
 
     void deliver(std::size_t index)
     {
-        if (index < history_.size())
-            machine_.take_assignment(history_[index]);
+        if (index < history.size())
+            machine_.take_assignment(history[index]);
     }
 
     void set_outage(bool out)
@@ -134,18 +134,18 @@
 
     void run(duration time)
     {
-        const mono_time until = t_ + time;
-        for (; t_ < until; t_ += step_time)
+        const mono_time until = t + time;
+        for (; t < until; t += step_time)
             step();
     }
 
     void end_faults()
     {
-        lose_request_ = lose_answer_ = false;
-        refuse_ = false;
+        lose_request = lose_answer = false;
+        refuse = false;
         set_outage(false);
-        if (!history_.empty())
-            deliver(history_.size() - 1);
+        if (!history.empty())
+            deliver(history.size() - 1);
     }
 
     void open_streams(std::size_t n)
@@ -161,31 +161,31 @@
 
     bool is_as_assigned() const
     {
-        if (history_.empty())
+        if (history.empty())
             return true;
-        const assignment& a = history_.back();
+        const assignment& a = history.back();
         if (a.state != sheet::upstream_state::active)
             return machine_.gate() == work_gate::draining;
         if (a.setup.role == sheet::engine_role::unassigned)
             return machine_.gate() == work_gate::not_ready;
-        return engine_.setup == a.setup && machine_.gate() == work_gate::open;
+        return engine.setup == a.setup && machine_.gate() == work_gate::open;
     }
 
-    fake_engine engine_;
-    bool lose_request_ = false;
-    bool lose_answer_ = false;
-    bool refuse_ = false;
-    duration read_time_ = milliseconds(200);
-    mono_time t_;
-    std::vector<assignment> history_;
+    fake_engine engine;
+    bool lose_request = false;
+    bool lose_answer = false;
+    bool refuse = false;
+    duration read_time = milliseconds(200);
+    mono_time t;
+    std::vector<assignment> history;
 
 private:
     void reach_platform()
     {
         if (outage_)
             return machine_.set_authority({});
-        if (!was_read_ && !history_.empty())
-            machine_.take_assignment(history_.back());
+        if (!was_read_ && !history.empty())
+            machine_.take_assignment(history.back());
         was_read_ = true;
         machine_.platform_was_read();
         machine_.set_authority(agent_incarnation(incarnation_));
@@ -193,12 +193,12 @@
 
     void step()
     {
-        engine_.advance(t_);
+        engine.advance(t);
         deliver_answers();
         if (!read_)
             begin_read();
         const bool was_open = machine_.gate() == work_gate::open;
-        const order_actions out = machine_.step(t_, streams_);
+        const order_actions out = machine_.step(t, streams_);
         if (out.hand_back)
             streams_ = 0;
         if (out.order)
@@ -207,12 +207,12 @@
 
     void deliver_answers()
     {
-        if (answer_ && answer_->at <= t_)
+        if (answer_ && answer_->at <= t)
         {
             machine_.take_answer(answer_->fencing, answer_->outcome, "");
             answer_.reset();
         }
-        if (read_ && read_->at <= t_)
+        if (read_ && read_->at <= t)
         {
             if (read_->state)
                 machine_.take_state(read_->number, *read_->state);
@@ -225,29 +225,29 @@
     /// The state is sampled when the read begins and arrives later.
     void begin_read()
     {
-        read_ = {t_ + read_time_, machine_.begin_read(), {}};
-        if (t_ >= engine_.up_at)
-            read_->state = {engine_.setup, engine_.next.has_value()};
+        read_ = {t + read_time, machine_.begin_read(), {}};
+        if (t >= engine.up_at)
+            read_->state = {engine.setup, engine.next.has_value()};
     }
 
     void send(const engine_order& order, bool was_open)
     {
-        engine_.expect(was_read_, "an order before the platform read");
-        engine_.expect(!outage_, "an order without authority");
-        engine_.expect(streams_ == 0, "an order cut a stream");
-        engine_.expect(!was_open, "an order while new work was accepted");
-        engine_.expect(!answer_, "an order before the previous answer");
-        engine_.expect(order.fencing > last_fencing_, "fencing did not rise");
+        engine.expect(was_read_, "an order before the platform read");
+        engine.expect(!outage_, "an order without authority");
+        engine.expect(streams_ == 0, "an order cut a stream");
+        engine.expect(!was_open, "an order while new work was accepted");
+        engine.expect(!answer_, "an order before the previous answer");
+        engine.expect(order.fencing > last_fencing_, "fencing did not rise");
         last_fencing_ = order.fencing;
-        const bool is_up = t_ >= engine_.up_at;
+        const bool is_up = t >= engine.up_at;
         auto outcome = order_outcome::accepted;
-        if (lose_request_ || lose_answer_ || !is_up)
+        if (lose_request || lose_answer || !is_up)
             outcome = order_outcome::lost;
-        if (refuse_)
+        if (refuse)
             outcome = order_outcome::refused;
-        if (is_up && !lose_request_ && !refuse_)
-            engine_.take_order(t_, order);
-        answer_ = {t_ + answer_time, order.fencing, outcome};
+        if (is_up && !lose_request && !refuse)
+            engine.take_order(t, order);
+        answer_ = {t + answer_time, order.fencing, outcome};
     }
 
     order_machine machine_{order_options{}};
@@ -267,19 +267,19 @@
     case 0:
         return w.assign(n);
     case 1:
-        return w.deliver(w.history_.size() - 1);
+        return w.deliver(w.history.size() - 1);
     case 2:
-        return w.deliver(n % (w.history_.size() + 1));
+        return w.deliver(n % (w.history.size() + 1));
     case 3:
-        return w.engine_.crash(w.t_, milliseconds(n * 30));
+        return w.engine.crash(w.t, milliseconds(n * 30));
     case 4:
-        w.lose_request_ = n % 2 == 0;
+        w.lose_request = n % 2 == 0;
         return;
     case 5:
-        w.lose_answer_ = n % 2 == 0;
+        w.lose_answer = n % 2 == 0;
         return;
     case 6:
-        w.refuse_ = n % 3 == 0;
+        w.refuse = n % 3 == 0;
         return;
     case 7:
         return w.restart();
@@ -290,7 +290,7 @@
     case 10:
         return w.end_streams();
     case 11:
-        w.read_time_ = milliseconds(n * 20);
+        w.read_time = milliseconds(n * 20);
         return;
     default:
         return w.run(milliseconds(n * 50));
@@ -306,10 +306,10 @@
         const auto length = *rc::gen::inRange(1, 60);
         for (int i = 0; i < length; ++i)
             apply(w, *rc::gen::inRange(0U, 16U), *rc::gen::inRange(0U, 100U));
-        RC_ASSERT(w.engine_.fault == "");
+        RC_ASSERT(w.engine.fault == "");
         w.end_faults();
         w.run(seconds(90));
-        RC_ASSERT(w.engine_.fault == "");
+        RC_ASSERT(w.engine.fault == "");
         RC_ASSERT(w.is_as_assigned());
     }
 }
