--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -20,9 +20,10 @@
 /// answering "unknown".
 constexpr duration forward_time = std::chrono::seconds(2);
 
-unsigned connections_for(std::size_t open)
+std::unique_ptr<net::http_client> make_client(std::size_t open)
 {
-    return static_cast<unsigned>(open) + spare_connections;
+    return std::make_unique<net::http_client>(static_cast<unsigned>(open) +
+                                              spare_connections);
 }
 
 } // namespace
@@ -30,16 +31,16 @@
 agent::agent(agent_settings settings, platform::object_store& store)
     : settings_(std::move(settings)), store_(store),
       lock_(settings_.checks_fencing ? 0 : settings_.slot_lock_port),
-      stream_client_(connections_for(settings_.streams.max_open)),
-      control_client_(spare_connections),
-      call_client_(connections_for(settings_.calls.max_open)),
+      stream_client_(make_client(settings_.streams.max_open)),
+      control_client_(make_client(0)),
+      call_client_(make_client(settings_.calls.max_open)),
       reporter_(links_, settings_.polls),
       streams_(std::make_shared<stream_table>(
-          stream_client_, settings_.upstream, settings_.streams, metrics_)),
+          *stream_client_, settings_.upstream, settings_.streams, metrics_)),
       orders_(std::make_shared<order_runner>(
-          control_client_, settings_.upstream, settings_.polls.order_timeout,
+          *control_client_, settings_.upstream, settings_.polls.order_timeout,
           settings_.orders, *streams_, metrics_)),
-      calls_(std::make_shared<call_runner>(call_client_, settings_.upstream,
+      calls_(std::make_shared<call_runner>(*call_client_, settings_.upstream,
                                            settings_.calls, metrics_)),
       admin_(settings_.admin, [this](const net::http_request& request,
                                      const net::responder_ptr& answer)
@@ -47,9 +48,9 @@
       loop_(std::make_unique<wire::loop>(make_loop_options()))
 {
     if (settings_.kind == upstream_kind::engine)
-        poller_ =
-            std::make_shared<engine_poller>(control_client_, settings_.upstream,
-                                            settings_.polls, make_poll_hooks());
+        poller_ = std::make_shared<engine_poller>(
+            *control_client_, settings_.upstream, settings_.polls,
+            make_poll_hooks());
     address_ = loop_->listen(settings_.listen, make_connection_hooks());
     loop_->set_hello(make_hello());
     if (settings_.kind == upstream_kind::service)
@@ -62,10 +63,13 @@
 
 agent::~agent()
 {
-    // Their hooks use the other parts.
+    // Each of these has threads whose hooks use the other parts.
     keeper_.reset();
     loop_.reset();
     ledger_.reset();
+    call_client_.reset();
+    control_client_.reset();
+    stream_client_.reset();
 }
 
 wire::loop_options agent::make_loop_options()
