--- a/control/manager.cpp
+++ b/control/manager.cpp
@@ -134,7 +134,7 @@
 
     ownership owner;
     policy::role_planner planner;
-    mono_time planned_at{};
+    mono_time planned_at;
     std::map<instance_id, mono_time> changing_since;
     std::map<instance_id, mono_time> absent_since;
     std::string last_plan;
@@ -401,6 +401,7 @@
 void manager::implementation::publish_status()
 {
     std::vector<group_status> all;
+    all.reserve(groups_.size());
     for (const auto& [group, g] : groups_)
         all.push_back(
             {group, g.owner.is_owner(), g.owner.epoch(), g.last_plan});
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -377,6 +377,7 @@
 TEST(candidates, three_entries_in_different_places)
 {
     std::vector<instance_id> entries;
+    entries.reserve(20);
     for (int i = 0; i < 20; ++i)
         entries.emplace_back("entry-" + std::to_string(i));
     std::set<unsigned> places;
--- a/tests/entry_fake_agent.hpp
+++ b/tests/entry_fake_agent.hpp
@@ -59,8 +59,11 @@
             c->send(wire::encode(options_.report));
         };
         h.received = [this](const wire::connection_ptr& c, const wire::frame& f)
-        { receive(c, f); };
-        h.closed = [](const wire::connection_ptr&, wire::close_reason) {};
+        {
+            receive(c, f);
+        };
+        h.closed = [](const wire::connection_ptr&, wire::close_reason) {
+        };
         address_ = loop_->listen({"127.0.0.1", 0}, std::move(h));
     }
     ~fake_agent()
