Run the entry on the decision modules and take part in control

Cause: the data path used a least-work stand-in for decisions, and no process owned the groups of the sheet. Change: an adapter gives the data path admission, fair shares, prefix routing and the retry budget of the policy package; a bridge feeds load and demand to the control manager and demand of other entries to the owner. The object assignments/<group> is read by one parser; the entry had its own with another key, so it would have passed on no orders.

--- a/control/assignments.hpp
+++ b/control/assignments.hpp
@@ -19,7 +19,7 @@
     sheet::engine_role role = sheet::engine_role::mixed;
     model_id model;
     model_version version;
-    std::vector<adapter_id> adapters;
+    std::vector<adapter_id> adapters; ///< Sorted.
     sheet::upstream_state state = sheet::upstream_state::active;
     std::string reason; ///< Why it is so, for the operators' record.
 
--- a/control/manager.cpp
+++ b/control/manager.cpp
@@ -277,7 +277,7 @@
     observe::log(was_owner ? observe::event::control_lost
                            : observe::event::control_taken,
                  {{"group", group.value}, {"epoch", g.owner.epoch().value}});
-    hooks_.record(group, was_owner ? "ownership lost" : "ownership taken");
+    hooks_.record(group, {}, was_owner ? "ownership lost" : "ownership taken");
     g.planner = policy::role_planner(options_.planner);
     g.planned_at = now();
 }
@@ -305,10 +305,10 @@
     g.owner.propose(plan_assignments(input), sheet.generation);
     g.last_plan = policy::to_string(roles);
     for (const policy::role_change& change : roles.changes)
-        hooks_.record(group.name, change.instance.value + " to " +
-                                      to_string(change.to) + ": " +
-                                      policy::to_string(change.reason) + "; " +
-                                      g.last_plan);
+        hooks_.record(group.name, change.instance,
+                      "role " + to_string(change.to) +
+                          " wanted: " + policy::to_string(change.reason) +
+                          "; " + g.last_plan);
 }
 
 void manager::implementation::mark_changes(group_control& g,
--- a/control/manager.hpp
+++ b/control/manager.hpp
@@ -38,8 +38,10 @@
     /// Sends this entry's demand to the owner.
     std::function<void(const instance_id&, const wire::fb::demand_reportT&)>
         send_demand;
-    /// Records a decision for operators.
-    std::function<void(const group_id&, const std::string&)> record;
+    /// Records a decision for operators; the instance is empty when it is
+    /// about the group.
+    std::function<void(const group_id&, const instance_id&, const std::string&)>
+        record;
 };
 
 struct manager_options
--- a/control/planning.cpp
+++ b/control/planning.cpp
@@ -34,8 +34,10 @@
 
 bool has_current_model(const assignment& a, const sheet::engine_group& group)
 {
+    std::vector<adapter_id> adapters = group.adapters;
+    std::ranges::sort(adapters);
     return a.model == group.model && a.version == group.version &&
-           a.adapters == group.adapters;
+           a.adapters == adapters;
 }
 
 void set_model(assignment& a, const planning_input& input)
@@ -43,6 +45,7 @@
     a.model = input.group->model;
     a.version = input.group->version;
     a.adapters = input.group->adapters;
+    std::ranges::sort(a.adapters);
 }
 
 std::string sheet_reason(const planning_input& input)
--- a/control/planning.hpp
+++ b/control/planning.hpp
@@ -22,7 +22,7 @@
     sheet::engine_role role = sheet::engine_role::unassigned;
     model_id model;
     model_version version;
-    std::vector<adapter_id> adapters;
+    std::vector<adapter_id> adapters; ///< Sorted.
     bool is_changing = false;
     /// Since when it has been changing or not as assigned.
     mono_time changing_since;
--- /dev/null
+++ b/entry/adaptive_policy.cpp
@@ -0,0 +1,433 @@
+#include "entry/adaptive_policy.hpp"
+
+#include "base/digest.hpp"
+#include "control/wire_types.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+#include <algorithm>
+#include <map>
+
+namespace poplar::entry
+{
+
+namespace
+{
+
+/// Lifts requests on their rank's guaranteed share above all others at the
+/// engine, whatever priorities the sheet gives.
+constexpr int guaranteed_priority = 1000;
+
+std::string to_text(policy::refusal_cause cause)
+{
+    switch (cause)
+    {
+    case policy::refusal_cause::none:
+        return "none";
+    case policy::refusal_cause::no_capacity:
+        return "no engine of the group takes work";
+    case policy::refusal_cause::too_long:
+        return "the prompt alone takes longer than the target";
+    case policy::refusal_cause::prompt_backlog:
+        return "the prompt would be computed too late";
+    case policy::refusal_cause::stream_backlog:
+        return "no stream slot becomes free in time";
+    case policy::refusal_cause::target_passed:
+        return "its target passed while it was queued";
+    }
+    return "none";
+}
+
+verdict to_verdict(policy::admission_verdict v)
+{
+    switch (v)
+    {
+    case policy::admission_verdict::dispatch:
+        return verdict::dispatch;
+    case policy::admission_verdict::queued:
+        return verdict::queued;
+    case policy::admission_verdict::refused:
+        return verdict::refused;
+    }
+    return verdict::refused;
+}
+
+policy::route_kind to_kind(leg_kind leg)
+{
+    switch (leg)
+    {
+    case leg_kind::whole:
+        return policy::route_kind::whole;
+    case leg_kind::prefill:
+        return policy::route_kind::prefill;
+    case leg_kind::decode:
+        return policy::route_kind::decode;
+    }
+    return policy::route_kind::whole;
+}
+
+std::string figures_of(const policy::admission_request& r,
+                       const policy::admission_decision& d)
+{
+    return "prompt " + std::to_string(r.expected.prompt.value) +
+           " expected output " + std::to_string(r.expected.output.value) +
+           " tokens; wait " + std::to_string(to_milliseconds(d.expected_wait)) +
+           " ms; " + to_text(d.cause);
+}
+
+admission_answer to_answer(const policy::admission_request& r,
+                           const policy::admission_decision& d)
+{
+    admission_answer a;
+    a.id = r.id;
+    a.what = to_verdict(d.verdict);
+    a.retry_after = d.retry_after;
+    a.figures = figures_of(r, d);
+    a.priority_boost = d.guaranteed ? guaranteed_priority : 0;
+    a.expected_output = r.expected.output;
+    return a;
+}
+
+class adaptive_policy : public dispatch_policy
+{
+public:
+    explicit adaptive_policy(adaptive_policy_options options)
+        : options_(std::move(options)), router_(router_settings(options_)),
+          retries_(options_.retries), random_(options_.seed)
+    {
+    }
+
+    void sheet_changed(const sheet::sheet& s) override;
+    void engine_changed(const engine_view& engine, mono_time now) override;
+    void engine_removed(const instance_id& instance) override;
+    admission_answer offer(const request_view& request, mono_time now) override;
+    std::vector<admission_answer> turns(mono_time now) override;
+    std::optional<engine_choice> choose(const request_view& request,
+                                        leg_kind leg,
+                                        const std::vector<instance_id>& avoid,
+                                        mono_time now) override;
+    void leg_ended(const request_id& id, const instance_id& instance,
+                   mono_time now) override;
+    void first_token(const request_id& id, mono_time now) override;
+    void finished(const request_view& request, token_count output,
+                  mono_time now) override;
+    bool try_retry() override;
+
+private:
+    struct engine_state
+    {
+        engine_view view;
+        mono_time measured_at;
+        std::uint64_t last_event = 0;
+    };
+
+    struct group_state
+    {
+        explicit group_state(policy::admission_settings s)
+            : admission(std::move(s))
+        {
+        }
+
+        policy::admission admission;
+    };
+
+    static policy::router_settings
+    router_settings(const adaptive_policy_options& o)
+    {
+        policy::router_settings s;
+        s.speed = o.speed;
+        return s;
+    }
+
+    group_state& group(const group_id& name)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void update_router(const engine_state& e, mono_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void take_cache_events(engine_state& e, policy::engine_index engine)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void update_admission(const group_id& name, mono_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    policy::admission_request admission_request(const request_view& request,
+                                                mono_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    policy::route_request
+    route_request(const request_view& request, leg_kind leg,
+                  const std::vector<instance_id>& avoid,
+                  std::span<const std::uint64_t> blocks) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    double weight_of(const tenant_id& tenant) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    const adaptive_policy_options options_;
+    absl::Mutex mutex_;
+    sheet::sheet sheet_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<tenant_id, double> weights_ ABSL_GUARDED_BY(mutex_);
+    std::map<group_id, group_state> groups_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<instance_id, engine_state>
+        engines_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<request_id, group_id> offered_ ABSL_GUARDED_BY(mutex_);
+    policy::router router_ ABSL_GUARDED_BY(mutex_);
+    policy::output_estimator estimator_ ABSL_GUARDED_BY(mutex_);
+    policy::retry_budget retries_ ABSL_GUARDED_BY(mutex_);
+    policy::random_source random_ ABSL_GUARDED_BY(mutex_);
+};
+
+void adaptive_policy::sheet_changed(const sheet::sheet& s)
+{
+    absl::MutexLock lock(&mutex_);
+    sheet_ = s;
+    weights_.clear();
+    for (const sheet::tenant& it : s.tenants)
+        weights_[it.name] = it.weight;
+    for (auto& [name, state] : groups_)
+        state.admission.set_ranks(s.ranks);
+}
+
+adaptive_policy::group_state& adaptive_policy::group(const group_id& name)
+{
+    auto it = groups_.find(name);
+    if (it != groups_.end())
+        return it->second;
+    policy::admission_settings s;
+    s.ranks = sheet_.ranks;
+    s.speed = options_.speed;
+    if (const sheet::engine_group* g = sheet::find_group(sheet_, name))
+        s.split_threshold = g->split_threshold;
+    return groups_.emplace(name, group_state(std::move(s))).first->second;
+}
+
+void adaptive_policy::engine_changed(const engine_view& engine, mono_time now)
+{
+    absl::MutexLock lock(&mutex_);
+    engine_state& e = engines_[engine.instance];
+    e.view = engine;
+    if (engine.is_new_report)
+        e.measured_at =
+            now - duration(static_cast<std::int64_t>(engine.report.age_us));
+    update_router(e, now);
+    update_admission(engine.group, now);
+}
+
+void adaptive_policy::update_router(const engine_state& e, mono_time now)
+{
+    policy::engine_info info;
+    info.instance = e.view.instance;
+    info.group = e.view.group;
+    info.failure_domain = e.view.failure_domain;
+    info.role = control::from_wire(e.view.report.role);
+    info.available = e.view.is_usable;
+    const policy::engine_index engine = router_.set_engine(info);
+    if (!e.view.is_new_report)
+        return;
+    policy::engine_report r;
+    r.measured_at = e.measured_at;
+    r.queued_prompt_tokens = token_count(
+        static_cast<std::int64_t>(e.view.report.queued_prompt_tokens));
+    r.streams = e.view.report.running + e.view.report.waiting;
+    r.kv_pieces_free = e.view.report.kv_pieces_free;
+    router_.report(engine, r, now);
+    take_cache_events(engines_[e.view.instance], engine);
+}
+
+/// A report repeats the newest events until the next one; only those not seen
+/// before are applied.
+void adaptive_policy::take_cache_events(engine_state& e,
+                                        policy::engine_index engine)
+{
+    std::vector<policy::cache_change> changes;
+    for (const auto& it : e.view.report.cache_events)
+        if (it->sequence > e.last_event)
+            changes.push_back({it->sequence, it->added, it->block});
+    if (!changes.empty())
+        e.last_event = changes.back().sequence;
+    router_.cache_events(engine, changes, e.view.report.cache_gap);
+}
+
+void adaptive_policy::update_admission(const group_id& name, mono_time now)
+{
+    std::vector<policy::engine_load> loads;
+    mono_time oldest = now;
+    for (const auto& [instance, e] : engines_)
+    {
+        if (e.view.group != name)
+            continue;
+        policy::engine_load load;
+        load.role = control::from_wire(e.view.report.role);
+        load.available = e.view.is_usable;
+        load.queued_prompt_tokens = token_count(
+            static_cast<std::int64_t>(e.view.report.queued_prompt_tokens));
+        load.streams = e.view.report.running + e.view.report.waiting;
+        if (load.available)
+            oldest = std::min(oldest, e.measured_at);
+        loads.push_back(load);
+    }
+    group(name).admission.update(
+        policy::load_of_group(loads, options_.speed, oldest), now);
+}
+
+void adaptive_policy::engine_removed(const instance_id& instance)
+{
+    absl::MutexLock lock(&mutex_);
+    auto it = engines_.find(instance);
+    if (it == engines_.end())
+        return;
+    const group_id name = it->second.view.group;
+    engines_.erase(it);
+    router_.remove_engine(instance);
+    update_admission(name, now());
+}
+
+double adaptive_policy::weight_of(const tenant_id& tenant) const
+{
+    auto it = weights_.find(tenant);
+    return it == weights_.end() ? 1.0 : it->second;
+}
+
+policy::admission_request
+adaptive_policy::admission_request(const request_view& request, mono_time now)
+{
+    policy::admission_request r;
+    r.id = request.id;
+    r.tenant = request.tenant;
+    r.tenant_weight = weight_of(request.tenant);
+    r.rank = request.rank;
+    const auto blocks = request_blocks(request);
+    const auto route = router_.choose(
+        route_request(request, leg_kind::whole, {}, blocks), now, random_);
+    const token_count cached = route ? route->cached : token_count();
+    r.expected.prompt = request.prompt_tokens - cached;
+    r.expected.output = estimator_
+                            .expect(request.tenant, request.model, request.rank,
+                                    request.max_output)
+                            .mean;
+    r.first_token_by = request.deadline;
+    if (request.rank.value < sheet_.ranks.size())
+        r.first_token_by =
+            std::min(request.deadline,
+                     request.arrived +
+                         sheet_.ranks[request.rank.value].first_token_target);
+    return r;
+}
+
+admission_answer adaptive_policy::offer(const request_view& request,
+                                        mono_time now)
+{
+    absl::MutexLock lock(&mutex_);
+    retries_.first_attempt();
+    const policy::admission_request r = admission_request(request, now);
+    const policy::admission_decision d =
+        group(request.group).admission.offer(r, now);
+    if (d.verdict != policy::admission_verdict::refused)
+        offered_[request.id] = request.group;
+    return to_answer(r, d);
+}
+
+std::vector<admission_answer> adaptive_policy::turns(mono_time now)
+{
+    absl::MutexLock lock(&mutex_);
+    std::vector<admission_answer> answers;
+    for (auto& [name, state] : groups_)
+    {
+        while (auto turn = state.admission.next(now))
+        {
+            const policy::admission_decision& d = turn->decision;
+            if (d.verdict == policy::admission_verdict::refused)
+                offered_.erase(turn->request.id);
+            answers.push_back(to_answer(turn->request, d));
+        }
+    }
+    return answers;
+}
+
+policy::route_request
+adaptive_policy::route_request(const request_view& request, leg_kind leg,
+                               const std::vector<instance_id>& avoid,
+                               std::span<const std::uint64_t> blocks) const
+{
+    policy::route_request r;
+    r.group = request.group;
+    r.kind = to_kind(leg);
+    r.prompt = request.prompt_tokens;
+    r.expected_output = request.max_output;
+    r.blocks = blocks;
+    r.near = options_.failure_domain;
+    for (const instance_id& it : avoid)
+        if (const auto engine = router_.find(it))
+            r.excluded.push_back(*engine);
+    return r;
+}
+
+std::optional<engine_choice>
+adaptive_policy::choose(const request_view& request, leg_kind leg,
+                        const std::vector<instance_id>& avoid, mono_time now)
+{
+    absl::MutexLock lock(&mutex_);
+    const auto blocks = request_blocks(request);
+    const policy::route_request r = route_request(request, leg, avoid, blocks);
+    const auto route = router_.choose(r, now, random_);
+    if (!route)
+        return std::nullopt;
+    const policy::engine_info& info = router_.info(route->engine);
+    if (!info.available)
+        return std::nullopt;
+    const instance_id chosen = info.instance;
+    router_.dispatched(route->engine, r, request.prompt_tokens - route->cached,
+                       now);
+    return engine_choice{
+        chosen, "cached " + std::to_string(route->cached.value) + " of " +
+                    std::to_string(request.prompt_tokens.value) +
+                    " prompt tokens; expected start in " +
+                    std::to_string(to_milliseconds(route->expected_start)) +
+                    " ms"};
+}
+
+void adaptive_policy::leg_ended(const request_id&, const instance_id& instance,
+                                mono_time now)
+{
+    absl::MutexLock lock(&mutex_);
+    if (const auto engine = router_.find(instance))
+        router_.finished(*engine, now);
+}
+
+void adaptive_policy::first_token(const request_id& id, mono_time now)
+{
+    absl::MutexLock lock(&mutex_);
+    auto it = offered_.find(id);
+    if (it != offered_.end())
+        group(it->second).admission.first_token(id, now);
+}
+
+void adaptive_policy::finished(const request_view& request, token_count output,
+                               mono_time now)
+{
+    absl::MutexLock lock(&mutex_);
+    offered_.erase(request.id);
+    policy::admission& a = group(request.group).admission;
+    a.cancel(request.id);
+    a.finished(request.id, now);
+    if (output.value > 0)
+        estimator_.learn(request.tenant, request.model, request.rank, output);
+}
+
+bool adaptive_policy::try_retry()
+{
+    absl::MutexLock lock(&mutex_);
+    return retries_.try_retry();
+}
+
+} // namespace
+
+std::unique_ptr<dispatch_policy>
+make_adaptive_policy(adaptive_policy_options options)
+{
+    return std::make_unique<adaptive_policy>(std::move(options));
+}
+
+std::vector<std::uint64_t> request_blocks(const request_view& request)
+{
+    const std::uint64_t seed =
+        digest(request.model.value + '\n' + request.adapter.value);
+    return policy::prompt_blocks(request.prompt, seed);
+}
+
+} // namespace poplar::entry
--- a/entry/decision_log.cpp
+++ b/entry/decision_log.cpp
@@ -61,6 +61,8 @@
         return "sheet_in_force";
     case decision_kind::assignments_seen:
         return "assignments_seen";
+    case decision_kind::control:
+        return "control";
     }
     return "unknown";
 }
--- a/entry/decision_log.hpp
+++ b/entry/decision_log.hpp
@@ -37,7 +37,8 @@
     instance_usable,
     instance_unusable,
     sheet_in_force,
-    assignments_seen
+    assignments_seen,
+    control ///< Ownership of a group, planning of roles.
 };
 
 std::string to_string(decision_kind kind);
--- a/entry/demand.cpp
+++ b/entry/demand.cpp
@@ -6,21 +6,25 @@
 {
 
 void demand_counter::accepted(const group_id& group, rank_index rank,
-                              token_count prompt, token_count output)
+                              const offered_work& offered)
 {
     absl::MutexLock lock(&mutex_);
     rank_demand& d = groups_[group][rank];
-    d.prompt += prompt;
-    d.output += output;
+    d.prompt += offered.prompt;
+    d.output += offered.output;
+    if (offered.is_long)
+        d.long_prompt += offered.prompt;
 }
 
 void demand_counter::refused(const group_id& group, rank_index rank,
-                             token_count prompt, token_count output)
+                             const offered_work& offered)
 {
     absl::MutexLock lock(&mutex_);
     rank_demand& d = groups_[group][rank];
-    d.refused_prompt += prompt;
-    d.refused_output += output;
+    d.refused_prompt += offered.prompt;
+    d.refused_output += offered.output;
+    if (offered.is_long)
+        d.long_prompt += offered.prompt;
 }
 
 std::map<group_id, group_demand> demand_counter::take()
--- a/entry/demand.hpp
+++ b/entry/demand.hpp
@@ -13,9 +13,18 @@
 struct rank_demand
 {
     token_count prompt;
-    token_count output; ///< Expected; max_tokens until estimates are used.
+    token_count output; ///< Expected.
     token_count refused_prompt;
     token_count refused_output;
+    token_count long_prompt; ///< Of both, in prompts over the split threshold.
+};
+
+/// Work of one request as it was offered.
+struct offered_work
+{
+    token_count prompt;
+    token_count output; ///< Expected.
+    bool is_long = false;
 };
 
 using group_demand = std::map<rank_index, rank_demand>;
@@ -24,10 +33,10 @@
 class demand_counter
 {
 public:
-    void accepted(const group_id& group, rank_index rank, token_count prompt,
-                  token_count output);
-    void refused(const group_id& group, rank_index rank, token_count prompt,
-                 token_count output);
+    void accepted(const group_id& group, rank_index rank,
+                  const offered_work& offered);
+    void refused(const group_id& group, rank_index rank,
+                 const offered_work& offered);
     /// The demand since the last call.
     std::map<group_id, group_demand> take();
 
--- a/entry/dispatch_policy.hpp
+++ b/entry/dispatch_policy.hpp
@@ -41,6 +41,7 @@
     token_count max_output;
     mono_time arrived{};
     mono_time deadline{};
+    bool is_long = false; ///< At least the group's split threshold.
 };
 
 enum class verdict
@@ -56,6 +57,10 @@
     verdict what = verdict::dispatch;
     duration retry_after{};
     std::string figures; ///< For the decision record and the caller.
+    /// Added to the rank's priority at the engine.
+    int priority_boost = 0;
+    /// Estimated length of the answer; 0: not estimated.
+    token_count expected_output{};
 };
 
 struct engine_choice
--- a/entry/entry.cpp
+++ b/entry/entry.cpp
@@ -224,6 +224,8 @@
     };
     h.listed = [this](const std::vector<platform::instance_record>& list)
     {
+        if (hooks_.listed)
+            hooks_.listed(list);
         links_->apply_list(list);
         links_->connect_due();
     };
@@ -344,6 +346,13 @@
     return view;
 }
 
+void entry::record_control(const group_id& group, const instance_id& instance,
+                           const std::string& what)
+{
+    decisions_.add(decision_kind::control, {}, instance,
+                   "group " + group.value + ": " + what);
+}
+
 std::string entry::status_json() const
 {
     const fb::heartbeatT beat = config_.heartbeat();
--- a/entry/entry.hpp
+++ b/entry/entry.hpp
@@ -55,6 +55,8 @@
     std::function<void(const fb::demand_reportT&)> demand_reported;
     std::function<void(const sheet_in_force&)> sheet_changed;
     std::function<void(const group_assignments&)> assignments_changed;
+    /// The platform's list of instances was read.
+    std::function<void(const std::vector<platform::instance_record>&)> listed;
 };
 
 class entry
@@ -69,6 +71,11 @@
     entry& operator=(const entry&) = delete;
 
     ip_address http_address() const;
+    /// For connections to other entries.
+    wire::loop& loop()
+    {
+        return *loop_;
+    }
     ip_address inner_address() const
     {
         return inner_address_;
@@ -80,6 +87,10 @@
     /// when the open requests have ended.
     void drain();
 
+    /// Adds a decision of the control work to the record.
+    void record_control(const group_id& group, const instance_id& instance,
+                        const std::string& what);
+
     /// Latest reports and the demand since the last call, for each group.
     std::map<group_id, group_view> take_control_view();
 
--- a/entry/front.cpp
+++ b/entry/front.cpp
@@ -224,6 +224,7 @@
               in.arrived,
               deadline_of(in, timeouts_.default_deadline)};
     const bool is_long = s.view.prompt_tokens >= group->split_threshold;
+    s.view.is_long = is_long;
     s.work = {in.id,        o.tenant,       o.rank,   o.priority,
               group->model, s.view.adapter, r.prompt, r.max_tokens,
               is_long,      s.view.deadline};
--- a/entry/live_config.cpp
+++ b/entry/live_config.cpp
@@ -1,7 +1,9 @@
 #include "entry/live_config.hpp"
 
+#include "control/assignments.hpp"
+#include "control/wire_types.hpp"
+
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace poplar::entry
 {
@@ -9,71 +11,42 @@
 namespace
 {
 
-fb::engine_role parse_role(const std::string& text)
-{
-    for (const fb::engine_role role : fb::EnumValuesengine_role())
-        if (text == fb::EnumNameengine_role(role))
-            return role;
-    throw parse_error("unknown role \"" + text + "\"");
-}
-
-fb::upstream_state parse_state(const std::string& text)
-{
-    for (const fb::upstream_state state : fb::EnumValuesupstream_state())
-        if (text == fb::EnumNameupstream_state(state))
-            return state;
-    throw parse_error("unknown state \"" + text + "\"");
-}
-
-fb::assignmentT parse_part(const nlohmann::json& item)
+fb::assignmentT to_wire(const control::assignment& a)
 {
     fb::assignmentT part;
-    part.instance = item.at("instance").get<std::string>();
-    part.role = parse_role(item.value("role", "unassigned"));
-    part.model = item.value("model", "");
-    part.model_version = item.value("version", "");
-    part.adapters = item.value("adapters", std::vector<std::string>());
-    part.state = parse_state(item.value("state", "active"));
+    part.instance = a.instance.value;
+    part.role = control::to_wire(a.role);
+    part.model = a.model.value;
+    part.model_version = a.version.value;
+    for (const adapter_id& it : a.adapters)
+        part.adapters.push_back(it.value);
+    part.state = control::to_wire(a.state);
     return part;
 }
 
-group_assignments parse_json(const platform::object& o)
+} // namespace
+
+group_assignments parse_assignments(const platform::object& o)
 {
-    const nlohmann::json json = nlohmann::json::parse(o.value);
+    const control::group_assignments all =
+        control::parse_group_assignments(o.value);
     group_assignments result;
     result.group = group_id(o.key.value.substr(assignments_prefix.size()));
     result.version = o.version;
-    result.epoch = owner_epoch(json.value("epoch", std::uint64_t(0)));
-    const auto generation = json.value("sheet_generation", std::uint64_t(0));
-    const auto list = json.find("instances");
-    if (list == json.end())
-        return result;
-    for (const nlohmann::json& item : *list)
+    result.epoch = all.epoch;
+    result.owner = all.owner;
+    for (const control::assignment& a : all.assignments)
     {
-        fb::assignmentT part = parse_part(item);
+        fb::assignmentT part = to_wire(a);
         part.group = result.group.value;
         part.version = o.version.value;
-        part.epoch = result.epoch.value;
-        part.sheet_generation = generation;
+        part.epoch = all.epoch.value;
+        part.sheet_generation = all.generation.value;
         result.parts.push_back(std::move(part));
     }
     return result;
 }
 
-} // namespace
-
-group_assignments parse_assignments(const platform::object& o)
-{
-    try
-    {
-        return parse_json(o);
-    }
-    catch (const nlohmann::json::exception& ec)
-    {
-        throw parse_error(o.key.value + ": " + ec.what());
-    }
-}
-
 std::set<instance_id> drained_instances(const sheet::sheet& s)
 {
     std::set<instance_id> result(s.drained.begin(), s.drained.end());
--- a/entry/live_config.hpp
+++ b/entry/live_config.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/ids.hpp"
+#include "control/assignments.hpp"
 #include "platform/object_store.hpp"
 #include "sheet/sheet.hpp"
 #include "wire/generated/inner_generated.h"
@@ -20,7 +21,7 @@
 namespace fb = wire::fb;
 
 inline const std::string sheet_prefix = "sheet/";
-inline const std::string assignments_prefix = "assignments/";
+inline const std::string assignments_prefix = control::assignments_prefix;
 
 /// The sheet in force; `sheet` is null until there is one.
 struct sheet_in_force
@@ -35,6 +36,7 @@
     group_id group;
     object_version version;
     owner_epoch epoch;
+    instance_id owner;                  ///< Entry that wrote it.
     std::vector<fb::assignmentT> parts; ///< One for each instance.
 };
 
--- a/entry/main.cpp
+++ b/entry/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.hpp"
-#include "entry/entry.hpp"
+#include "entry/adaptive_policy.hpp"
+#include "entry/control_bridge.hpp"
 #include "observe/log.hpp"
 
 namespace poplar::entry
@@ -8,20 +9,31 @@
 namespace
 {
 
+std::unique_ptr<dispatch_policy> make_policy(const entry_settings& s)
+{
+    adaptive_policy_options o;
+    o.speed = s.speed;
+    o.failure_domain = s.failure_domain;
+    o.retries.per_first_attempt = s.limits.retry_ratio;
+    o.seed = make_request_id().low;
+    return make_adaptive_policy(std::move(o));
+}
+
 daemon::exit_code serve(settings::reader& all, daemon::stop_signal& stop)
 {
     const entry_settings s = parse_entry_settings(all);
     const std::unique_ptr<platform::object_store> store =
         platform::make_http_store({s.platform});
-    entry e(
-        s, *store,
-        make_basic_policy({s.limits.max_open_requests, s.limits.retry_ratio}));
+    control_bridge control(s.instance);
+    entry e(s, *store, make_policy(s), control.hooks_for_entry());
+    control.start(e, *store, s);
     daemon::print_listening("poplar-entry", e.http_address(),
                             e.inner_address());
     observe::log(observe::event::started,
                  {{"admin", to_string(e.admin_address())}});
     stop.wait();
     observe::log(observe::event::shutdown_started);
+    control.stop();
     e.drain();
     observe::log(observe::event::shutdown_finished);
     return daemon::exit_code::success;
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -68,6 +68,35 @@
     return t;
 }
 
+policy::engine_speed parse_speed(settings::reader table)
+{
+    policy::engine_speed s;
+    s.prefill_tokens_per_second =
+        table.number("prefill_tokens_per_second", s.prefill_tokens_per_second,
+                     1, 10'000'000);
+    s.decode_tokens_per_second = table.number(
+        "decode_tokens_per_second", s.decode_tokens_per_second, 1, 10'000'000);
+    s.max_streams = static_cast<unsigned>(
+        table.integer("max_streams", s.max_streams, 1, 65536));
+    s.shared_prefill =
+        table.number("shared_prefill", s.shared_prefill, 0.01, 1);
+    return s;
+}
+
+control_timeouts parse_control(settings::reader table)
+{
+    control_timeouts c;
+    c.lease = table.time("lease", c.lease, milliseconds(100), minutes(5));
+    c.renewal = table.time("renewal", c.renewal, milliseconds(20), minutes(1));
+    c.takeover_stagger = table.time("takeover_stagger", c.takeover_stagger,
+                                    milliseconds(0), minutes(1));
+    c.planning =
+        table.time("planning", c.planning, milliseconds(20), minutes(1));
+    if (c.lease < 2 * c.renewal)
+        table.fail("lease", "is below twice the renewal interval");
+    return c;
+}
+
 } // namespace
 
 entry_settings parse_entry_settings(settings::reader& all)
@@ -85,6 +114,8 @@
         all.table("cell").integer("count", s.cell_count, 1, 1000));
     s.limits = parse_limits(all.table("limits"));
     s.timeouts = parse_timeouts(all.table("timeouts"));
+    s.speed = parse_speed(all.table("engine_speed"));
+    s.control = parse_control(all.table("control"));
     all.finish();
     return s;
 }
--- a/entry/settings.hpp
+++ b/entry/settings.hpp
@@ -5,6 +5,7 @@
 #include "base/ids.hpp"
 #include "base/time.hpp"
 #include "base/units.hpp"
+#include "policy/work.hpp"
 #include "settings/reader.hpp"
 
 #include <cstdint>
@@ -45,6 +46,15 @@
     duration close_delay = std::chrono::seconds(1);
 };
 
+/// Times of the choice of a group's control owner.
+struct control_timeouts
+{
+    duration lease = std::chrono::seconds(10);
+    duration renewal = std::chrono::seconds(3);
+    duration takeover_stagger = std::chrono::seconds(2);
+    duration planning = std::chrono::seconds(1);
+};
+
 struct entry_settings
 {
     instance_id instance;
@@ -57,6 +67,8 @@
     unsigned cell_count = 1;
     entry_limits limits;
     entry_timeouts timeouts;
+    policy::engine_speed speed; ///< Of one engine, assumed by the decisions.
+    control_timeouts control;
 };
 
 /// Reads the whole file and calls finish(); throws settings_error.
--- a/entry/stream_session.hpp
+++ b/entry/stream_session.hpp
@@ -133,6 +133,11 @@
     stream_session(generation request, session_limits limits,
                    std::function<std::uint64_t()> next_number);
 
+    /// Adds to the request's priority at the engine; call it before start.
+    void raise_priority(int boost)
+    {
+        request_.priority += boost;
+    }
     stream_actions start(mono_time now);
     /// Answers choose_upstream.
     stream_actions placed(mono_time now, const placement_result& result);
--- a/entry/streams.cpp
+++ b/entry/streams.cpp
@@ -102,14 +102,17 @@
         services_.decisions->add(decision_kind::queued, v.id, {}, who);
         return;
     }
+    const token_count output = answer.expected_output.value > 0
+                                   ? answer.expected_output
+                                   : v.max_output;
+    const offered_work offered{v.prompt_tokens, output, v.is_long};
     const bool is_refused = answer.what == verdict::refused;
     services_.decisions->add(is_refused ? decision_kind::refused
                                         : decision_kind::admitted,
                              v.id, {}, who);
     if (is_refused)
     {
-        services_.demand->refused(v.group, v.rank, v.prompt_tokens,
-                                  v.max_output);
+        services_.demand->refused(v.group, v.rank, offered);
         const failure why{failure_kind::overloaded, answer.figures,
                           fb::ran_state::no, answer.retry_after};
         return feed(s,
@@ -120,8 +123,13 @@
                         return stream_actions{fail_answer{why}};
                     });
     }
-    services_.demand->accepted(v.group, v.rank, v.prompt_tokens, v.max_output);
-    feed(s, [](stream_session& session) { return session.start(now()); });
+    services_.demand->accepted(v.group, v.rank, offered);
+    feed(s,
+         [&](stream_session& session)
+         {
+             session.raise_priority(answer.priority_boost);
+             return session.start(now());
+         });
 }
 
 template <class Input>
