Pass held answers between threads of net_test by notifications

Cause: two tests read a shared pointer while a server thread wrote it. Change: they wait for a notification instead. Measurement: a ThreadSanitizer build on a scratch copy, with standard mutexes in place of Abseil's, reported 5 races in the tests before and none after.

--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -282,12 +282,14 @@
 TEST(http_server, stops_accepting_and_finishes_open_answers)
 {
     responder_ptr held;
+    absl::Notification arrived;
     http_server server({any_port, 2},
                        [&](const http_request&, const responder_ptr& a)
                        {
                            a->begin(200, {});
                            a->write("start ");
                            held = a;
+                           arrived.Notify();
                        });
     http_client client;
     absl::Notification done;
@@ -299,7 +301,7 @@
                       EXPECT_EQ(r.response.body, "start end");
                       done.Notify();
                   }});
-    ASSERT_TRUE(eventually([&] { return held != nullptr; }));
+    arrived.WaitForNotification();
     server.stop_accepting();
     http_client other;
     EXPECT_EQ(other.fetch(get(server.address(), "/")).failure,
@@ -351,6 +353,7 @@
 TEST_P(unfinished_answers, never_look_whole)
 {
     responder_ptr held;
+    absl::Notification arrived;
     auto server = std::make_unique<http_server>(
         http_server_options{any_port},
         [&](const http_request&, const responder_ptr& a)
@@ -365,6 +368,7 @@
                 a->abort();
             if (GetParam().how == ending::destroy_server)
                 held = a;
+            arrived.Notify();
         });
     http_client client;
     absl::Notification done;
@@ -381,7 +385,7 @@
                   }});
     if (GetParam().how == ending::destroy_server)
     {
-        ASSERT_TRUE(eventually([&] { return held != nullptr; }));
+        arrived.WaitForNotification();
         server.reset();
     }
     done.WaitForNotification();
