agent: fewer log lines and platform calls during an outage

Every agent repeated its reads and log lines twice a second while the platform was out; the wait now doubles up to 4 s and only the first failure is logged.

--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -41,7 +41,7 @@
           *control_client_, settings_.upstream, settings_.polls.order_timeout,
           settings_.orders, *streams_, metrics_)),
       calls_(std::make_shared<call_runner>(*call_client_, settings_.upstream,
-                                           settings_.calls, metrics_)),
+                                           settings_.calls)),
       admin_(settings_.admin, [this](const net::http_request& request,
                                      const net::responder_ptr& answer)
              { answer_admin(request, answer); }),
--- a/agent/call_runner.cpp
+++ b/agent/call_runner.cpp
@@ -158,9 +158,8 @@
 } // namespace
 
 call_runner::call_runner(net::http_client& client, ip_address service,
-                         call_options options, agent_metrics& metrics)
-    : client_(client), service_(std::move(service)), options_(options),
-      metrics_(metrics)
+                         call_options options)
+    : client_(client), service_(std::move(service)), options_(options)
 {
 }
 
--- a/agent/call_runner.hpp
+++ b/agent/call_runner.hpp
@@ -1,7 +1,6 @@
 /// Sends calls to a plain service and says honestly how they ended.
 #pragma once
 
-#include "agent/metrics.hpp"
 #include "agent/settings.hpp"
 #include "ledger/ledger.hpp"
 #include "net/http_client.hpp"
@@ -21,7 +20,7 @@
 {
 public:
     call_runner(net::http_client& client, ip_address service,
-                call_options options, agent_metrics& metrics);
+                call_options options);
 
     /// A call that may be repeated.
     void run(const fb::callT& call, call_result_hook done);
@@ -40,7 +39,6 @@
     net::http_client& client_;
     const ip_address service_;
     const call_options options_;
-    agent_metrics& metrics_;
     std::atomic<std::size_t> open_{0};
 };
 
--- a/agent/main.cpp
+++ b/agent/main.cpp
@@ -2,18 +2,19 @@
 #include "agent/agent.hpp"
 #include "observe/log.hpp"
 
-namespace
+namespace poplar::agent
 {
 
-using namespace poplar;
+namespace
+{
 
 constexpr duration superseded_check = std::chrono::milliseconds(200);
 
 daemon::exit_code serve(settings::reader& all, daemon::stop_signal& stop)
 {
-    const agent::agent_settings settings = agent::parse_settings(all);
+    const agent_settings settings = parse_settings(all);
     const auto store = platform::make_http_store({settings.platform});
-    agent::agent a(settings, *store);
+    agent a(settings, *store);
     daemon::print_listening("poplar-agent", a.admin_address(),
                             a.inner_address());
     observe::log(observe::event::started,
@@ -27,17 +28,29 @@
     return daemon::exit_code::success;
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+daemon::program make_program()
 {
     daemon::program p;
     p.name = "poplar-agent";
     p.description = "serves one upstream to the entries";
     p.check = [](settings::reader& all)
     {
-        agent::parse_settings(all);
+        parse_settings(all);
     };
     p.serve = serve;
-    return daemon::run(p, argc, argv);
+    return p;
+}
+
+} // namespace
+
+int run(int argc, char** argv)
+{
+    return daemon::run(make_program(), argc, argv);
+}
+
+} // namespace poplar::agent
+
+int main(int argc, char** argv)
+{
+    return poplar::agent::run(argc, argv);
 }
--- a/agent/platform_keeper.cpp
+++ b/agent/platform_keeper.cpp
@@ -1,7 +1,6 @@
 #include "agent/platform_keeper.hpp"
 
 #include "control/assignments.hpp"
-#include "observe/log.hpp"
 
 #include <algorithm>
 
@@ -26,13 +25,19 @@
 
 void platform_keeper::run()
 {
-    bool is_well = true;
+    duration wait = options_.check_interval;
     do
     {
-        is_well = hold_slot();
-        is_well = read_assignment() && is_well;
-    } while (!is_stopped_within(is_well ? options_.check_interval
-                                        : options_.retry_interval));
+        const bool holds = hold_slot();
+        const bool is_well = read_assignment() && holds;
+        if (is_well)
+            wait = options_.check_interval;
+        else if (was_well_)
+            wait = options_.retry_interval;
+        else
+            wait = std::min(wait * 2, options_.longest_retry_interval);
+        was_well_ = is_well;
+    } while (!is_stopped_within(wait));
 }
 
 bool platform_keeper::hold_slot()
@@ -61,7 +66,7 @@
     }
     catch (const error& ec)
     {
-        observe::log(observe::event::slot_uncertain, {{"reason", ec.what()}});
+        log_failure(observe::event::slot_uncertain, ec);
         hooks_.held({});
         return false;
     }
@@ -81,12 +86,17 @@
     }
     catch (const error& ec)
     {
-        observe::log(observe::event::assignment_unread,
-                     {{"reason", ec.what()}});
+        log_failure(observe::event::assignment_unread, ec);
         return false;
     }
 }
 
+void platform_keeper::log_failure(observe::event what, const error& ec)
+{
+    if (was_well_)
+        observe::log(what, {{"reason", ec.what()}});
+}
+
 bool platform_keeper::is_stopped_within(duration d)
 {
     absl::MutexLock lock(&mutex_);
--- a/agent/platform_keeper.hpp
+++ b/agent/platform_keeper.hpp
@@ -4,6 +4,7 @@
 #include "agent/assignment.hpp"
 #include "agent/slot.hpp"
 #include "base/time.hpp"
+#include "observe/log.hpp"
 #include "platform/object_store.hpp"
 
 #include <absl/synchronization/mutex.h>
@@ -32,7 +33,10 @@
     group_id group;
     ip_address address; ///< Inner-protocol address of this agent.
     duration check_interval = std::chrono::seconds(2);
+    /// After a failed call; doubles up to longest_retry_interval, so that many
+    /// agents do not keep the platform from coming back.
     duration retry_interval = std::chrono::milliseconds(500);
+    duration longest_retry_interval = std::chrono::seconds(4);
 };
 
 /// Its thread makes the blocking calls to the platform.
@@ -51,6 +55,8 @@
     /// False when a call failed or the slot is lost.
     bool hold_slot();
     bool read_assignment();
+    /// Logs the first of several failures.
+    void log_failure(observe::event what, const error& ec);
     bool is_stopped_within(duration d);
 
     platform::object_store& store_;
@@ -60,6 +66,7 @@
     std::optional<agent_incarnation> incarnation_;
     bool is_superseded_ = false;
     bool has_assignment_ = false;
+    bool was_well_ = true;
     absl::Mutex mutex_;
     bool is_stopping_ ABSL_GUARDED_BY(mutex_) = false;
     std::thread thread_;
--- a/tests/fake_entry.hpp
+++ b/tests/fake_entry.hpp
@@ -150,7 +150,8 @@
         if (f.type != wire::message_type::call_result)
             return;
         auto result = wire::decode<fb::call_resultT>(f);
-        calls_[result.stream] = std::move(result);
+        const std::uint64_t number = result.stream;
+        calls_[number] = std::move(result);
     }
 
     void take_data(const fb::stream_dataT& data)
