poplarctl: read control objects with the control package

The command line had a parser of its own for assignments and leases, which could drift from what owners write, and explain looked for the time of a decision under another name than entries use: a run against poplar-entry showed an empty time column. Decisions of several entries are now merged in the order of time. A control object that cannot be parsed is named in a warning and no longer hides the rest of the status.

--- a/ctl/explain.cpp
+++ b/ctl/explain.cpp
@@ -3,6 +3,7 @@
 #include "net/http_client.hpp"
 #include "platform/api_json.hpp"
 
+#include <algorithm>
 #include <iostream>
 
 namespace poplar::ctl
@@ -73,26 +74,42 @@
     return it->dump();
 }
 
-/// Time as text; numbers are milliseconds since 1970.
-std::string time_cell(const json& decision)
+/// Time of a decision in milliseconds since 1970; 0 when it has none.
+std::int64_t time_of(const json& decision)
 {
-    const auto it = decision.find("time");
+    const auto it = decision.find("time_ms");
     if (it == decision.end() || !it->is_number_integer())
-        return cell(decision, "time");
-    const auto ms = it->get<std::int64_t>();
-    std::string fraction = std::to_string(1000 + ms % 1000).substr(1);
+        return 0;
+    return it->get<std::int64_t>();
+}
+
+std::string time_text(std::int64_t ms)
+{
     std::string text = utc_text(ms / 1000);
+    const std::string fraction = std::to_string(1000 + ms % 1000).substr(1);
     return text.insert(text.size() - 1, "." + fraction);
 }
 
+struct decision_row
+{
+    std::int64_t time = 0;
+    std::vector<std::string> cells;
+};
+
+/// Decisions of all entries in the order of time.
 void print_text(const std::vector<entry_answer>& answers)
 {
-    table t({"TIME", "ENTRY", "KIND", "REQUEST", "INSTANCE", "DETAIL"});
+    std::vector<decision_row> rows;
     for (const entry_answer& it : answers)
         for (const json& d : it.decisions)
-            t.add({time_cell(d), to_string(it.entry), cell(d, "kind"),
-                   cell(d, "request"), cell(d, "instance"),
-                   cell(d, d.contains("detail") ? "detail" : "reason")});
+            rows.push_back(
+                {time_of(d),
+                 {time_text(time_of(d)), to_string(it.entry), cell(d, "kind"),
+                  cell(d, "request"), cell(d, "instance"), cell(d, "detail")}});
+    std::ranges::stable_sort(rows, {}, &decision_row::time);
+    table t({"TIME", "ENTRY", "KIND", "REQUEST", "INSTANCE", "DETAIL"});
+    for (decision_row& it : rows)
+        t.add(std::move(it.cells));
     std::cout << t.text();
 }
 
--- a/ctl/status.cpp
+++ b/ctl/status.cpp
@@ -1,4 +1,4 @@
-#include "ctl/assignments.hpp"
+#include "control/assignments.hpp"
 #include "ctl/commands.hpp"
 #include "ctl/output.hpp"
 #include "platform/api_json.hpp"
@@ -16,40 +16,63 @@
 using nlohmann::json;
 using sheet::current_sheet;
 
+/// An object of a group, which the end of its key names.
+template <class Value>
+struct of_group
+{
+    group_id group;
+    Value value;
+};
+
+using assignments_of_group = of_group<control::group_assignments>;
+using lease_of_group = of_group<control::group_lease>;
+
 struct setup_status
 {
     current_sheet current;
-    std::vector<group_assignments> assignments;
-    std::vector<group_lease> leases;
+    std::vector<assignments_of_group> assignments;
+    std::vector<lease_of_group> leases;
     std::vector<platform::instance_record> instances;
 };
 
-/// Parses each object below `prefix`, of which the rest of the key names the
-/// group.
-template <class Parsed>
-std::vector<Parsed>
-read_groups(platform::object_store& store, const std::string& prefix,
-            Parsed (*parse)(const group_id&, const std::string&))
+/// Objects that cannot be parsed are named on standard error and left out, so
+/// that they do not hide the rest of the status.
+template <class Value>
+std::vector<of_group<Value>> read_groups(platform::object_store& store,
+                                         const std::string& prefix,
+                                         Value (*parse)(const std::string&))
 {
-    std::vector<Parsed> all;
+    std::vector<of_group<Value>> all;
     for (const platform::object& it : store.list(prefix).objects)
-        all.push_back(
-            parse(group_id(it.key.value.substr(prefix.size())), it.value));
+    {
+        try
+        {
+            const group_id group(it.key.value.substr(prefix.size()));
+            all.push_back({group, parse(it.value)});
+        }
+        catch (const parse_error& ec)
+        {
+            std::cerr << "warning: " << it.key << ": " << ec.what() << "\n";
+        }
+    }
     return all;
 }
 
 setup_status read_status(platform::object_store& store)
 {
-    return {sheet::read_current(store),
-            read_groups(store, "assignments/", parse_assignments),
-            read_groups(store, "lease/", parse_lease), store.instances()};
+    return {
+        sheet::read_current(store),
+        read_groups(store, control::assignments_prefix,
+                    control::parse_group_assignments),
+        read_groups(store, control::lease_prefix, control::parse_group_lease),
+        store.instances()};
 }
 
-std::string join(const std::vector<std::string>& items)
+std::string join(const std::vector<adapter_id>& items)
 {
     std::string text;
-    for (const std::string& it : items)
-        text += (text.empty() ? "" : ",") + it;
+    for (const adapter_id& it : items)
+        text += (text.empty() ? "" : ",") + it.value;
     return text;
 }
 
@@ -64,39 +87,24 @@
             {"export_id", r.export_id}};
 }
 
-json assignments_json(const group_assignments& a)
-{
-    json rows = json::array();
-    for (const assignment_row& it : a.rows)
-        rows.push_back({{"instance", it.instance.value},
-                        {"role", it.role},
-                        {"model", it.model},
-                        {"version", it.version},
-                        {"adapters", it.adapters},
-                        {"state", it.state},
-                        {"reason", it.reason}});
-    return {{"group", a.group.value},
-            {"epoch", a.epoch.value},
-            {"owner", a.owner.value},
-            {"sheet_generation", a.generation.value},
-            {"assignments", rows}};
+template <class Value>
+json groups_json(const std::vector<of_group<Value>>& all)
+{
+    json list = json::array();
+    for (const of_group<Value>& it : all)
+    {
+        json j = json::parse(control::to_json(it.value));
+        j["group"] = it.group.value;
+        list.push_back(std::move(j));
+    }
+    return list;
 }
 
 void print_status_json(const setup_status& s)
 {
-    json assignments = json::array();
-    for (const group_assignments& it : s.assignments)
-        assignments.push_back(assignments_json(it));
-    json leases = json::array();
-    for (const group_lease& it : s.leases)
-        leases.push_back({{"group", it.group.value},
-                          {"owner", it.owner.value},
-                          {"address", it.address},
-                          {"epoch", it.epoch.value},
-                          {"renewals", it.renewals}});
     print_json({{"sheet", sheet_json(s.current)},
-                {"groups", assignments},
-                {"leases", leases},
+                {"groups", groups_json(s.assignments)},
+                {"leases", groups_json(s.leases)},
                 {"instances",
                  json::parse(platform::to_json(s.instances)).at("instances")}});
 }
@@ -116,30 +124,33 @@
 {
     table groups({"GROUP", "OWNER", "EPOCH", "SHEET", "LEASE_OWNER",
                   "LEASE_ADDRESS", "LEASE_EPOCH", "RENEWALS"});
-    for (const group_assignments& a : s.assignments)
+    for (const assignments_of_group& a : s.assignments)
     {
-        std::vector<std::string> cells{a.group.value, a.owner.value,
-                                       std::to_string(a.epoch.value),
-                                       std::to_string(a.generation.value)};
+        std::vector<std::string> cells{
+            a.group.value, a.value.owner.value,
+            std::to_string(a.value.epoch.value),
+            std::to_string(a.value.generation.value)};
         const auto lease =
-            std::ranges::find(s.leases, a.group, &group_lease::group);
+            std::ranges::find(s.leases, a.group, &lease_of_group::group);
         if (lease != s.leases.end())
-            cells.insert(cells.end(), {lease->owner.value, lease->address,
-                                       std::to_string(lease->epoch.value),
-                                       std::to_string(lease->renewals)});
+            cells.insert(cells.end(),
+                         {lease->value.owner.value, lease->value.address,
+                          std::to_string(lease->value.epoch.value),
+                          std::to_string(lease->value.renewals)});
         groups.add(std::move(cells));
     }
     std::cout << "\n# groups\n" << groups.text();
 }
 
-void print_assignments(const std::vector<group_assignments>& all)
+void print_assignments(const std::vector<assignments_of_group>& all)
 {
     table rows({"GROUP", "INSTANCE", "ROLE", "STATE", "MODEL", "VERSION",
                 "ADAPTERS", "REASON"});
-    for (const group_assignments& a : all)
-        for (const assignment_row& it : a.rows)
-            rows.add({a.group.value, it.instance.value, it.role, it.state,
-                      it.model, it.version, join(it.adapters), it.reason});
+    for (const assignments_of_group& a : all)
+        for (const control::assignment& it : a.value.assignments)
+            rows.add({a.group.value, it.instance.value, to_string(it.role),
+                      to_string(it.state), it.model.value, it.version.value,
+                      join(it.adapters), it.reason});
     std::cout << "\n# assignments\n" << rows.text();
 }
 
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -273,16 +273,19 @@
         R"({"instance":"writer-1","role":"decode","model":"layout-writer",)"
         R"("version":"3","adapters":["x","y"],"state":"draining",)"
         R"("reason":"drained by sheet 1"}]})");
+    put("assignments/broken", "{}");
     put("lease/writers", R"({"owner":"entry-2","address":"127.0.0.1:7000",)"
                          R"("epoch":4,"renewals":17})");
     stand_in.call("PUT", "/admin/instances/writer-1",
                   R"({"kind":"engine","group":"writers"})");
     const command_result text = call({"status"});
     EXPECT_EQ(text.exit_code, success);
+    EXPECT_TRUE(contains(text.output, "warning: assignments/broken"));
     for (const char* part : {"entry-2", "127.0.0.1:7000", "17", "x,y",
                              "drained by sheet 1", "engine", "draining"})
         EXPECT_TRUE(contains(text.output, part)) << part << text.output;
-    const json j = json::parse(call({"status", "--json"}).output);
+    const std::string output = call({"status", "--json"}).output;
+    const json j = json::parse(output.substr(output.find('{')));
     EXPECT_EQ(j.at("sheet").at("operator"), "ana");
     EXPECT_EQ(j.at("groups").at(0).at("assignments").at(0).at("role"),
               "decode");
@@ -304,7 +307,7 @@
             answer->respond(
                 {200,
                  {},
-                 known ? R"({"decisions":[{"time":1700000000250,)"
+                 known ? R"({"decisions":[{"time_ms":1700000000250,)"
                          R"("kind":"refused","request":null,)"
                          R"("instance":"writer-1","detail":"backlog 9 s"}]})"
                        : R"({"decisions":[]})"});
