policy: prompts overflow between prefill and stream engines

Change: admission counts both kinds of engines as one prompt resource and names the path on dispatch; the planner's model does the same.

--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -41,54 +41,35 @@
     return settings_.ranks[rank].guaranteed_share;
 }
 
-bool admission::is_long(const work& w) const
+admission::amounts admission::amounts_of(const work& w)
 {
-    return w.prompt >= settings_.split_threshold;
+    return {as_double(w.prompt), as_double(w.output)};
 }
 
-admission::resource admission::prompt_resource(const work& w) const
-{
-    return is_long(w) ? long_prompt : short_prompt;
-}
-
-bool admission::joined() const
-{
-    return load_.prefill_rate <= 0;
-}
-
-double admission::amount(const amounts& a, resource of) const
+double admission::rate(resource of) const
 {
-    if (of != output && joined())
-        return a[long_prompt] + a[short_prompt];
-    return a[of];
+    return of == output ? load_.decode_rate
+                        : load_.prefill_rate + load_.shared_prefill_rate;
 }
 
-admission::amounts admission::amounts_of(const work& w) const
+double admission::pool_rate(pool at) const
 {
-    amounts a{};
-    a[prompt_resource(w)] = as_double(w.prompt);
-    a[output] = as_double(w.output);
-    return a;
+    return at == prefill_pool ? load_.prefill_rate : load_.shared_prefill_rate;
 }
 
-double admission::rate(resource of) const
+double admission::pool_speed(pool at) const
 {
-    switch (of)
-    {
-    case long_prompt:
-        return joined() ? load_.shared_prefill_rate : load_.prefill_rate;
-    case short_prompt:
-        return load_.shared_prefill_rate;
-    default:
-        return load_.decode_rate;
-    }
+    if (pool_rate(at) <= 0)
+        return 0;
+    return at == prefill_pool ? settings_.speed.prefill_tokens_per_second
+                              : settings_.speed.shared_prefill_rate();
 }
 
-double admission::prompt_speed(const work& w) const
+double admission::least_prompt_seconds(const work& w) const
 {
-    const double speed = settings_.speed.prefill_tokens_per_second;
-    return is_long(w) && !joined() ? speed
-                                   : speed * settings_.speed.shared_prefill;
+    const double speed =
+        std::max({pool_speed(prefill_pool), pool_speed(shared_pool), 1.0});
+    return as_double(w.prompt) / speed;
 }
 
 double admission::cost(const work& w) const
@@ -98,44 +79,35 @@
 
 double admission::capacity() const
 {
-    const double prompt = load_.prefill_rate + load_.shared_prefill_rate;
-    return prompt / settings_.speed.prefill_tokens_per_second +
+    return rate(prompt) / settings_.speed.prefill_tokens_per_second +
            load_.decode_rate / settings_.speed.decode_tokens_per_second;
 }
 
-double admission::computing_before(std::size_t rank, bool guaranteed,
-                                   resource of) const
+double admission::before(std::array<pool_amounts, 2> rank_state::*amounts,
+                         std::size_t rank, bool guaranteed, pool at) const
 {
-    double sum = amount(foreign_, of);
+    double sum = 0;
     for (std::size_t r = 0; r < ranks_.size(); ++r)
     {
-        const rank_state& state = ranks_[r];
+        const auto& [lent, own] = ranks_[r].*amounts;
         if (r <= rank || !guaranteed)
-            sum += amount(state.computing[1], of);
+            sum += own[at];
         if (r <= rank && !guaranteed)
-            sum += amount(state.computing[0], of);
+            sum += lent[at];
     }
     return sum;
 }
 
-double admission::prompts_before(std::size_t rank, bool guaranteed,
-                                 resource of) const
+double admission::computing_before(std::size_t rank, bool guaranteed,
+                                   pool at) const
 {
-    double sum = 0;
-    for (std::size_t r = 0; r < ranks_.size(); ++r)
-    {
-        const rank_state& state = ranks_[r];
-        if (r <= rank || !guaranteed)
-            sum += amount(state.prompts[1], of);
-        if (r <= rank && !guaranteed)
-            sum += amount(state.prompts[0], of);
-    }
-    return sum;
+    return foreign_prompt_[at] +
+           before(&rank_state::computing, rank, guaranteed, at);
 }
 
-unsigned admission::streams() const
+double admission::streams() const
 {
-    unsigned sum = 0;
+    double sum = 0;
     for (const rank_state& r : ranks_)
         sum += r.streams;
     return sum;
@@ -143,8 +115,7 @@
 
 double admission::free_slots() const
 {
-    return load_.stream_slots - static_cast<double>(streams()) -
-           foreign_[output];
+    return load_.stream_slots - streams() - foreign_streams_;
 }
 
 bool admission::has_share_slot(std::size_t rank) const
@@ -158,20 +129,52 @@
     return ranks_[rank].credit > 0 && has_share_slot(rank);
 }
 
-bool admission::has_room(std::size_t rank, bool guaranteed, const work& w) const
+bool admission::pool_has_room(std::size_t rank, bool guaranteed, pool at) const
 {
-    const resource of = prompt_resource(w);
-    if (rate(of) <= 0 || rate(output) <= 0)
-        return false;
-    if (!guaranteed && free_slots() < 1)
+    if (pool_rate(at) <= 0)
         return false;
-    const double window = rate(of) * settings_.prompt_window;
-    if (computing_before(rank, guaranteed, of) < window)
+    const double window = pool_rate(at) * settings_.prompt_window;
+    if (computing_before(rank, guaranteed, at) < window)
         return true;
     // Long prompts: at least one for each engine, so that none is idle.
-    const double engines = rate(of) / prompt_speed(w);
-    return prompts_before(rank, guaranteed, of) + 1 <= engines &&
-           amount(foreign_, of) < window;
+    const double engines = pool_rate(at) / pool_speed(at);
+    const double prompts = before(&rank_state::prompts, rank, guaranteed, at);
+    return prompts + 1 <= engines && foreign_prompt_[at] < window;
+}
+
+bool admission::in_time(std::size_t rank, bool guaranteed, const work& w,
+                        mono_time first_token_by, pool at) const
+{
+    const double ready =
+        computing_before(rank, guaranteed, at) / pool_rate(at) +
+        as_double(w.prompt) / pool_speed(at);
+    const double left = seconds(first_token_by - advanced_);
+    return ready <= left * (1 - settings_.target_margin);
+}
+
+std::optional<admission::pool>
+admission::pool_for(std::size_t rank, const work& w,
+                    mono_time first_token_by) const
+{
+    const bool guaranteed = within_share(rank);
+    if (load_.decode_rate <= 0 || (!guaranteed && free_slots() < 1))
+        return std::nullopt;
+    const pool first =
+        w.prompt >= settings_.split_threshold ? prefill_pool : shared_pool;
+    const pool second = first == prefill_pool ? shared_pool : prefill_pool;
+    const bool first_room = pool_has_room(rank, guaranteed, first);
+    const bool second_room = pool_has_room(rank, guaranteed, second);
+    if (first_room && in_time(rank, guaranteed, w, first_token_by, first))
+        return first;
+    if (second_room && in_time(rank, guaranteed, w, first_token_by, second))
+        return second;
+    // Late in either: whichever is faster.
+    if (pool_has_room(rank, guaranteed, prefill_pool))
+        return prefill_pool;
+    return load_.prefill_rate <= 0 &&
+                   pool_has_room(rank, guaranteed, shared_pool)
+               ? std::optional(shared_pool)
+               : std::nullopt;
 }
 
 void admission::advance(mono_time now)
@@ -200,14 +203,11 @@
 {
     if (!history_.empty() && now - history_.back().at < history_step)
         return;
-    own_load own{now, 0, 0, streams()};
+    own_load own{now, {}, streams()};
     for (const rank_state& r : ranks_)
     {
-        for (const amounts& a : r.computing)
-        {
-            own.long_prompt += a[long_prompt];
-            own.short_prompt += a[short_prompt];
-        }
+        for (int at = 0; at < pools; ++at)
+            own.prompt[at] += r.computing[0][at] + r.computing[1][at];
     }
     history_.push_back(own);
     while (now - history_.front().at > history_length)
@@ -227,12 +227,11 @@
     }
     // What the engines saw beyond this entry's own work at that time is the
     // work of other entries. Own work is known without lag and added to it.
-    foreign_[long_prompt] =
-        std::max(0.0, as_double(load.queued_prefill_tokens) - own.long_prompt);
-    foreign_[short_prompt] =
-        std::max(0.0, as_double(load.queued_shared_tokens) - own.short_prompt);
-    foreign_[output] =
-        std::max(0.0, static_cast<double>(load.streams) - own.streams);
+    foreign_prompt_ = {std::max(0.0, as_double(load.queued_prefill_tokens) -
+                                         own.prompt[prefill_pool]),
+                       std::max(0.0, as_double(load.queued_shared_tokens) -
+                                         own.prompt[shared_pool])};
+    foreign_streams_ = std::max(0.0, load.streams - own.streams);
     fits_check_due_ = true;
 }
 
@@ -257,7 +256,7 @@
         ranks_[last].guaranteed_streams += removed.guaranteed_streams;
         for (int g = 0; g < 2; ++g)
         {
-            for (int k = 0; k < resources; ++k)
+            for (int k = 0; k < pools; ++k)
             {
                 ranks_[last].prompts[g][k] += removed.prompts[g][k];
                 ranks_[last].computing[g][k] += removed.computing[g][k];
@@ -289,31 +288,33 @@
         std::clamp(from_seconds(std::min(wait, 1e6)), settings_.shortest_retry,
                    settings_.longest_retry);
     rank.demand.refused += r.expected;
-    if (is_long(r.expected))
-        rank.demand.long_prompt += r.expected.prompt;
     return d;
 }
 
-void admission::start(const admission_request& r, bool guaranteed)
+admission_decision admission::start(const admission_request& r, pool at)
 {
     const std::size_t rank = rank_of(r.rank);
-    const resource of = prompt_resource(r.expected);
     rank_state& state = ranks_[rank];
-    running_[r.id] = {rank, guaranteed, r.expected, true};
-    state.computing[guaranteed][of] += as_double(r.expected.prompt);
-    ++state.prompts[guaranteed][of];
+    admission_decision d;
+    d.verdict = admission_verdict::dispatch;
+    d.split = at == prefill_pool;
+    d.guaranteed = within_share(rank);
+    running_[r.id] = {rank, d.guaranteed, at, r.expected, true};
+    state.computing[d.guaranteed][at] += as_double(r.expected.prompt);
+    ++state.prompts[d.guaranteed][at];
     ++state.streams;
-    state.guaranteed_streams += guaranteed ? 1 : 0;
+    state.guaranteed_streams += d.guaranteed ? 1 : 0;
     const amounts a = amounts_of(r.expected);
     for (int k = 0; k < resources; ++k)
         state.recent[k] += a[k] / recent_seconds;
     state.credit -= cost(r.expected);
+    return d;
 }
 
 void admission::enqueue(const admission_request& r, mono_time now)
 {
     const std::size_t rank = rank_of(r.rank);
-    const double own = as_double(r.expected.prompt) / prompt_speed(r.expected);
+    const double own = least_prompt_seconds(r.expected);
     queued_request q{r.id,
                      r.tenant,
                      r.tenant_weight,
@@ -338,7 +339,7 @@
             q.expected, q.first_token_by};
 }
 
-std::optional<std::size_t> admission::next_rank()
+std::optional<admission::choice> admission::next_choice()
 {
     for (bool guaranteed : {true, false})
     {
@@ -347,8 +348,9 @@
             rank_state& r = ranks_[i];
             if (r.queue.empty() || within_share(i) != guaranteed)
                 continue;
-            if (has_room(i, guaranteed, r.queue.front()->expected))
-                return i;
+            const queued_request& q = *r.queue.front();
+            if (const auto at = pool_for(i, q.expected, q.first_token_by))
+                return choice{i, *at};
         }
     }
     return std::nullopt;
@@ -358,23 +360,18 @@
                                     mono_time now)
 {
     advance(now);
-    admission_decision d = judge(request, now);
-    rank_state& r = ranks_[rank_of(request.rank)];
+    const admission_decision d = judge(request, now);
+    const std::size_t rank = rank_of(request.rank);
+    rank_state& r = ranks_[rank];
     if (d.verdict == admission_verdict::refused)
         return refuse(request, d.cause, seconds(d.retry_after));
     r.demand.accepted += request.expected;
-    if (is_long(request.expected))
-        r.demand.long_prompt += request.expected.prompt;
-    const std::size_t rank = rank_of(request.rank);
-    const bool guaranteed = within_share(rank);
-    if (r.queue.empty() && has_room(rank, guaranteed, request.expected) &&
-        !next_rank())
+    if (r.queue.empty() && !next_choice())
     {
-        d.verdict = admission_verdict::dispatch;
-        d.expected_wait = {};
-        d.guaranteed = guaranteed;
-        start(request, guaranteed);
-        return d;
+        const auto at =
+            pool_for(rank, request.expected, request.first_token_by);
+        if (at)
+            return start(request, *at);
     }
     enqueue(request, now);
     return d;
@@ -415,8 +412,6 @@
         refuse(request, refusal_cause::target_passed, wait);
     r.demand.accepted.prompt -= w.prompt;
     r.demand.accepted.output -= w.output;
-    if (is_long(w))
-        r.demand.long_prompt -= w.prompt;
     return admission_turn{std::move(request), d};
 }
 
@@ -434,15 +429,12 @@
             return turn;
     }
     fits_check_due_ = false;
-    const std::optional<std::size_t> i = next_rank();
-    if (!i)
+    const std::optional<choice> c = next_choice();
+    if (!c)
         return std::nullopt;
-    rank_state& r = ranks_[*i];
     admission_turn turn;
-    turn.request = unqueue(*i, r.queue.pop_front());
-    turn.decision.verdict = admission_verdict::dispatch;
-    turn.decision.guaranteed = within_share(*i);
-    start(turn.request, turn.decision.guaranteed);
+    turn.request = unqueue(c->rank, ranks_[c->rank].queue.pop_front());
+    turn.decision = start(turn.request, c->at);
     return turn;
 }
 
@@ -454,11 +446,11 @@
         return;
     it->second.computing = false;
     rank_state& r = ranks_[it->second.rank];
-    const resource of = prompt_resource(it->second.expected);
-    double& computing = r.computing[it->second.guaranteed][of];
+    const pool at = it->second.at;
+    double& computing = r.computing[it->second.guaranteed][at];
     computing =
         std::max(0.0, computing - as_double(it->second.expected.prompt));
-    double& prompts = r.prompts[it->second.guaranteed][of];
+    double& prompts = r.prompts[it->second.guaranteed][at];
     prompts = std::max(0.0, prompts - 1);
 }
 
@@ -503,8 +495,7 @@
 work admission::backlog(rank_index rank) const
 {
     const rank_state& r = ranks_[rank_of(rank)];
-    const double prompt = r.queued[long_prompt] + r.queued[short_prompt];
-    return {token_count(std::llround(prompt)),
+    return {token_count(std::llround(r.queued[prompt])),
             token_count(std::llround(r.queued[output]))};
 }
 
--- a/policy/admission.hpp
+++ b/policy/admission.hpp
@@ -53,7 +53,9 @@
 {
     std::vector<sheet::rank> ranks;
     engine_speed speed;
-    /// Prompts of at least this length go to prefill engines, if any.
+    /// Prompts of at least this length go to prefill engines, shorter ones to
+    /// engines that run streams; either kind to the other engines when its own
+    /// are busy and the others meet its target.
     token_count split_threshold{2048};
     /// Prompt work kept at the engines, in seconds of their speed: enough to
     /// keep them busy between events, little enough that order is decided here.
@@ -101,7 +103,9 @@
     admission_verdict verdict = admission_verdict::refused;
     refusal_cause cause = refusal_cause::none;
     duration expected_wait{}; ///< Until dispatch.
-    duration retry_after{};   ///< With refusals: from now.
+    /// With dispatch: a prefill engine computes the prompt.
+    bool split = false;
+    duration retry_after{}; ///< With refusals: from now.
     /// Dispatched on the rank's guaranteed share. Pass the engine a priority
     /// above that of all requests that are not, so that it pauses streams on
     /// lent slots when all slots are taken: this returns a lent share at once.
@@ -120,8 +124,6 @@
 {
     work accepted;
     work refused;
-    /// Part of both prompts in prompts of at least split_threshold.
-    token_count long_prompt;
 };
 
 class admission
@@ -161,28 +163,35 @@
     work backlog(rank_index rank) const;
 
 private:
+    /// Engines that compute a prompt.
+    enum pool
+    {
+        prefill_pool, ///< Engines with role prefill.
+        shared_pool,  ///< Engines that run streams.
+        pools
+    };
     enum resource
     {
-        long_prompt,  ///< Prompt tokens of prefill engines.
-        short_prompt, ///< Prompt tokens beside decoding.
-        output,       ///< Output tokens, in stream slots.
+        prompt, ///< Prompt tokens of both pools.
+        output, ///< Output tokens, in stream slots.
         resources
     };
     using amounts = std::array<double, resources>;
+    using pool_amounts = std::array<double, pools>;
 
     struct running_request
     {
         std::size_t rank = 0;
         bool guaranteed = false;
+        pool at = shared_pool;
         work expected;
         bool computing = true; ///< Before the first token.
     };
     struct own_load
     {
         mono_time at;
-        double long_prompt = 0;
-        double short_prompt = 0;
-        unsigned streams = 0;
+        pool_amounts prompt{};
+        double streams = 0;
     };
     struct rank_state
     {
@@ -191,8 +200,8 @@
         fair_queue queue;
         amounts queued{};
         /// Prompt tokens at the engines, on lent and on guaranteed slots.
-        std::array<amounts, 2> computing{};
-        std::array<amounts, 2> prompts{}; ///< Number of these prompts.
+        std::array<pool_amounts, 2> computing{};
+        std::array<pool_amounts, 2> prompts{}; ///< Number of these prompts.
         amounts recent{};    ///< Tokens/s dispatched, decaying average.
         double promised = 0; ///< Engine seconds told to retry later.
         double credit = 0;   ///< Engine seconds of the guaranteed share.
@@ -213,28 +222,32 @@
 
     std::size_t rank_of(rank_index rank) const;
     double share(std::size_t rank) const;
-    bool is_long(const work& w) const;
-    /// Resource by length alone; stays the same while engines change role.
-    resource prompt_resource(const work& w) const;
-    amounts amounts_of(const work& w) const;
-    /// True when no prefill engine serves: all prompts share one resource.
-    bool joined() const;
-    double amount(const amounts& a, resource of) const;
+    static amounts amounts_of(const work& w);
     double rate(resource of) const;
-    double prompt_speed(const work& w) const;
+    double pool_rate(pool at) const;
+    /// Of one engine, in tokens/s; 0 when the pool has no engine.
+    double pool_speed(pool at) const;
+    /// Seconds that the prompt takes on the fastest engines there are.
+    double least_prompt_seconds(const work& w) const;
     double cost(const work& w) const;
     double capacity() const;
 
-    /// Prompt tokens at the engines that go before a request of this rank.
-    double computing_before(std::size_t rank, bool guaranteed,
-                            resource of) const;
-    double prompts_before(std::size_t rank, bool guaranteed, resource of) const;
-    unsigned streams() const;
+    /// Prompts at the engines that go before a request of this rank: the sum
+    /// of `computing` or of `prompts`.
+    double before(std::array<pool_amounts, 2> rank_state::*amounts,
+                  std::size_t rank, bool guaranteed, pool at) const;
+    double computing_before(std::size_t rank, bool guaranteed, pool at) const;
+    double streams() const;
     double free_slots() const;
     /// The next request of the rank can run on its guaranteed share.
     bool within_share(std::size_t rank) const;
     bool has_share_slot(std::size_t rank) const;
-    bool has_room(std::size_t rank, bool guaranteed, const work& w) const;
+    bool pool_has_room(std::size_t rank, bool guaranteed, pool at) const;
+    bool in_time(std::size_t rank, bool guaranteed, const work& w,
+                 mono_time first_token_by, pool at) const;
+    /// Pool that can take the request now.
+    std::optional<pool> pool_for(std::size_t rank, const work& w,
+                                 mono_time first_token_by) const;
     void advance(mono_time now);
     void note_own_load(mono_time now);
 
@@ -247,16 +260,23 @@
     admission_decision judge(const admission_request& r, mono_time now) const;
     admission_decision refuse(const admission_request& r, refusal_cause cause,
                               double seconds_late);
-    void start(const admission_request& r, bool guaranteed);
+    admission_decision start(const admission_request& r, pool at);
     void enqueue(const admission_request& r, mono_time now);
     admission_request unqueue(std::size_t rank, queued_request q);
     std::optional<request_id> late_request(std::size_t rank, mono_time now);
     std::optional<admission_turn> next_late(std::size_t rank, mono_time now);
-    std::optional<std::size_t> next_rank();
+    struct choice
+    {
+        std::size_t rank = 0;
+        pool at = shared_pool;
+    };
+    std::optional<choice> next_choice();
 
     admission_settings settings_;
     group_load load_;
-    amounts foreign_{}; ///< Load of other entries; streams under `output`.
+    /// Load of other entries.
+    pool_amounts foreign_prompt_{};
+    double foreign_streams_ = 0;
     std::vector<rank_state> ranks_;
     absl::flat_hash_map<request_id, running_request> running_;
     std::deque<own_load> history_; ///< Own load at recent times.
--- a/policy/admission_forecast.cpp
+++ b/policy/admission_forecast.cpp
@@ -31,8 +31,7 @@
             sum.queued_prefill_tokens += e.queued_prompt_tokens;
             continue;
         }
-        sum.shared_prefill_rate +=
-            part * speed.prefill_tokens_per_second * speed.shared_prefill;
+        sum.shared_prefill_rate += part * speed.shared_prefill_rate();
         sum.decode_rate += part * speed.decode_tokens_per_second;
         slots += part * speed.max_streams;
         sum.queued_shared_tokens += e.queued_prompt_tokens;
@@ -49,8 +48,8 @@
     double left = full;
     for (std::size_t r = 0; r < ranks_.size(); ++r)
     {
-        const double recent = amount(ranks_[r].recent, of);
-        const double queued = amount(ranks_[r].queued, of);
+        const double recent = ranks_[r].recent[of];
+        const double queued = ranks_[r].queued[of];
         if (r < rank)
             left -= recent;
         else if (r > rank)
@@ -63,7 +62,7 @@
 double admission::drain_rate(std::size_t rank) const
 {
     double part = 1;
-    for (resource of : {long_prompt, short_prompt, output})
+    for (resource of : {prompt, output})
     {
         if (rate(of) > 0)
             part = std::min(part, lent_rate(rank, of) / rate(of));
@@ -82,7 +81,7 @@
     double work_ahead = ahead;
     double urgent = 0;
     for (std::size_t r = 0; r < rank; ++r)
-        urgent += amount(ranks_[r].queued, of);
+        urgent += ranks_[r].queued[of];
     double by_share = ahead;
     if (of == output)
     {
@@ -93,8 +92,11 @@
     }
     else
     {
-        work_ahead += computing_before(rank, false, of);
-        by_share += computing_before(rank, true, of);
+        for (pool at : {prefill_pool, shared_pool})
+        {
+            work_ahead += computing_before(rank, false, at);
+            by_share += computing_before(rank, true, at);
+        }
     }
     const double lent =
         std::max(0.0, work_ahead + urgent) / lent_rate(rank, of);
@@ -108,9 +110,8 @@
                                             double part_ahead) const
 {
     const rank_state& r = ranks_[rank];
-    const resource of = prompt_resource(w);
     forecast f;
-    f.prompt = resource_wait(rank, of, amount(r.queued, of) * part_ahead, 0);
+    f.prompt = resource_wait(rank, prompt, r.queued[prompt] * part_ahead, 0);
     const double own = static_cast<double>(w.output.value);
     // Without a free slot the request waits for at least one to be released.
     const bool slot = free_slots() >= 1 || within_share(rank);
@@ -123,7 +124,7 @@
                                     mono_time now) const
 {
     admission_decision d;
-    if (rate(output) <= 0 || rate(prompt_resource(r.expected)) <= 0)
+    if (rate(output) <= 0 || rate(prompt) <= 0)
     {
         d.cause = refusal_cause::no_capacity;
         return d;
@@ -134,8 +135,7 @@
         queue.cost_ahead(r.tenant, r.tenant_weight, cost(r.expected));
     const double part = queue.cost() > 0 ? ahead / queue.cost() : 0;
     const forecast f = forecast_for(rank, r.expected, part);
-    const double own =
-        static_cast<double>(r.expected.prompt.value) / prompt_speed(r.expected);
+    const double own = least_prompt_seconds(r.expected);
     const double slack = seconds(r.first_token_by - now);
     const double usable = slack * (1 - settings_.target_margin);
     d.expected_wait = from_seconds(f.wait());
--- a/policy/role_planner.cpp
+++ b/policy/role_planner.cpp
@@ -64,8 +64,6 @@
         rank_rates& r = rates_[i];
         const duration t = input.interval;
         r.prompt += weight * (per_second(d.offered.prompt, t) - r.prompt);
-        r.long_prompt +=
-            weight * (per_second(d.long_prompt, t) - r.long_prompt);
         r.output += weight * (per_second(d.offered.output, t) - r.output);
     }
 }
@@ -108,50 +106,60 @@
     return c;
 }
 
-/// Serves the ranks in order of urgency: long prompts need both roles, the
-/// rest only engines that run streams.
+/// Prompts take prefill engines first, then the part of stream engines' time
+/// that prompts may take, at their lower efficiency.
+double role_planner::serve(double prompt, double output, room& left) const
+{
+    const double efficiency = settings_.speed.shared_efficiency;
+    double part = 1;
+    if (output > 0)
+        part = std::min(part, left.streams / output);
+    if (prompt > 0)
+        part =
+            std::min(part, (left.prefill + efficiency * left.shared) / prompt);
+    if (part * prompt > left.prefill)
+        part = std::min(part, (left.streams + left.prefill / efficiency) /
+                                  (output + prompt / efficiency));
+    const double on_prefill = std::min(part * prompt, left.prefill);
+    const double on_streams = (part * prompt - on_prefill) / efficiency;
+    left.prefill -= on_prefill;
+    left.shared = std::max(0.0, left.shared - on_streams);
+    left.streams = std::max(0.0, left.streams - on_streams - part * output);
+    return part;
+}
+
+/// Serves the ranks in order of urgency.
 role_planner::split role_planner::value_of(const planner_input& input,
                                            unsigned prefill,
                                            unsigned streams) const
 {
     const engine_speed& speed = settings_.speed;
-    double p = prefill * settings_.target_utilisation;
-    double s = streams * settings_.target_utilisation;
+    const double use = settings_.target_utilisation;
+    room left{prefill * use, streams * use,
+              streams * use * speed.shared_prefill};
+    const room all = left;
     double offered = 0;
     double served = 0;
-    double need_p = 0;
-    double need_s = 0;
+    double needed = 0;
+    double output_needed = 0;
     for (std::size_t i = 0; i < rates_.size(); ++i)
     {
-        const rank_rates& r = rates_[i];
         const double worth =
             i < input.ranks.size() ? input.ranks[i].worth : 1.0;
-        const double part = r.prompt > 0 ? r.long_prompt / r.prompt : 0;
-        double long_p = r.long_prompt / speed.prefill_tokens_per_second;
-        const double out = r.output / speed.decode_tokens_per_second;
-        double long_s = out * part;
-        const double short_s =
-            out * (1 - part) +
-            (r.prompt - r.long_prompt) / speed.prefill_tokens_per_second;
-        if (prefill == 0)
-            long_s += std::exchange(long_p, 0);
-        const double long_part = std::min({1.0, long_p > 0 ? p / long_p : 1.0,
-                                           long_s > 0 ? s / long_s : 1.0});
-        p -= long_part * long_p;
-        s -= long_part * long_s;
-        const double short_part =
-            std::min(1.0, short_s > 0 ? s / short_s : 1.0);
-        s -= short_part * short_s;
-        need_p += long_p;
-        need_s += long_s + short_s;
-        offered += worth * (long_p + long_s + short_s);
-        served +=
-            worth * (long_part * (long_p + long_s) + short_part * short_s);
+        const double prompt =
+            rates_[i].prompt / speed.prefill_tokens_per_second;
+        const double output = rates_[i].output / speed.decode_tokens_per_second;
+        offered += worth * (prompt + output);
+        served += worth * (prompt + output) * serve(prompt, output, left);
+        needed += prompt;
+        output_needed += output;
     }
     split result;
     result.served = offered > 0 ? served / offered : 1;
-    result.busiest = std::max(need_p / std::max(1U, prefill),
-                              need_s / std::max(1U, streams));
+    const double prompt_room =
+        all.prefill + speed.shared_efficiency * all.shared;
+    result.busiest = std::max(needed / std::max(prompt_room, 1e-3),
+                              output_needed / std::max(all.streams, 1e-3));
     result.value =
         result.served - settings_.room_worth * std::min(2.0, result.busiest);
     return result;
@@ -391,7 +399,6 @@
     for (const rank_rates& r : rates_)
     {
         f.prompt_tokens_per_second += r.prompt;
-        f.long_prompt_tokens_per_second += r.long_prompt;
         f.output_tokens_per_second += r.output;
     }
     absl::erase_if(changed_at_, [&](const auto& entry)
--- a/policy/role_planner.hpp
+++ b/policy/role_planner.hpp
@@ -51,12 +51,9 @@
 };
 
 /// Work offered to a group by one rank in an interval, summed over entries.
-/// Prompts are split by the route they would take.
 struct rank_demand
 {
     work offered; ///< Accepted and refused.
-    /// Part of offered.prompt in prompts of at least split_threshold.
-    token_count long_prompt;
 };
 
 struct planner_input
@@ -97,7 +94,6 @@
     unsigned away = 0;     ///< Stuck, unreachable or not active.
     unsigned wanted_prefill = 0;
     double prompt_tokens_per_second = 0;
-    double long_prompt_tokens_per_second = 0;
     double output_tokens_per_second = 0;
     double served_now = 0; ///< Part of the worth of offered work, 0..1.
     double served_after = 0;
@@ -143,7 +139,6 @@
     struct rank_rates
     {
         double prompt = 0;
-        double long_prompt = 0;
         double output = 0;
     };
     /// Engines of one failure domain by role.
@@ -161,6 +156,13 @@
         std::vector<const planned_engine*> unassigned;
         absl::flat_hash_map<failure_domain_id, domain_count> domains;
     };
+    /// Engine seconds per second that are still free.
+    struct room
+    {
+        double prefill = 0;
+        double streams = 0;
+        double shared = 0; ///< Part of `streams` that prompts may take.
+    };
     struct split
     {
         double served = 0; ///< Part of the offered worth, 0..1.
@@ -171,6 +173,8 @@
     void learn_demand(const planner_input& input);
     void learn_direction(int direction, mono_time now);
     census count(const planner_input& input, mono_time now) const;
+    /// Part of a rank's work that fits; takes it from `left`.
+    double serve(double prompt, double output, room& left) const;
     split value_of(const planner_input& input, unsigned prefill,
                    unsigned streams) const;
     unsigned best_prefill(const planner_input& input, unsigned now_prefill,
--- a/policy/router.cpp
+++ b/policy/router.cpp
@@ -192,9 +192,9 @@
 double router::start_seconds(const engine_state& e, const route_request& r,
                              token_count cached, mono_time now) const
 {
-    double speed = settings_.speed.prefill_tokens_per_second;
-    if (!computes_prompts_only(e.info.role))
-        speed *= settings_.speed.shared_prefill;
+    const double speed = computes_prompts_only(e.info.role)
+                             ? settings_.speed.prefill_tokens_per_second
+                             : settings_.speed.shared_prefill_rate();
     const std::int64_t queued = std::max<std::int64_t>(
         0, e.reported.queued_prompt_tokens.value + e.sent_prompt);
     const std::int64_t own =
--- a/policy/work.hpp
+++ b/policy/work.hpp
@@ -27,8 +27,7 @@
     auto operator<=>(const work&) const = default;
 };
 
-/// What one engine can do. A mixed or decode engine that also computes prompts
-/// spends `shared_prefill` of its time on them.
+/// What one engine can do. Mixed and decode engines also compute prompts.
 struct engine_speed
 {
     double prefill_tokens_per_second = 10000;
@@ -36,8 +35,17 @@
     double decode_tokens_per_second = 2000;
     /// Concurrent streams at which the token interval target is still met.
     unsigned max_streams = 48;
-    /// Part of an engine's time that prompts may take beside decoding.
+    /// Part of a mixed or decode engine's time that prompts may take.
     double shared_prefill = 0.3;
+    /// Prompt tokens computed in that time, relative to a prefill engine:
+    /// small chunks between decoding steps are less efficient.
+    double shared_efficiency = 0.7;
+
+    /// Prompt tokens per second of a mixed or decode engine beside decoding.
+    double shared_prefill_rate() const
+    {
+        return prefill_tokens_per_second * shared_prefill * shared_efficiency;
+    }
 };
 
 inline double seconds(duration d)
--- a/replay/engine_model.cpp
+++ b/replay/engine_model.cpp
@@ -24,7 +24,8 @@
     s.prefill_tokens_per_second = c.prefill_tokens_per_second;
     s.decode_tokens_per_second = c.max_batch * 1000 / step_ms;
     s.max_streams = c.max_batch;
-    s.shared_prefill = c.prefill_time_share * c.chunk_efficiency;
+    s.shared_prefill = c.prefill_time_share;
+    s.shared_efficiency = c.chunk_efficiency;
     return s;
 }
 
@@ -38,8 +39,11 @@
 {
     const auto cached =
         static_cast<std::int64_t>(cached_blocks(job) * policy::block_tokens);
+    // A resumed answer's tokens are computed again with its prompt.
+    const std::int64_t all =
+        job.prompt + static_cast<std::int64_t>(job.generated);
     job.left_to_compute =
-        static_cast<double>(std::max<std::int64_t>(1, job.prompt - cached));
+        static_cast<double>(std::max<std::int64_t>(1, all - cached));
     insert_by_priority(prompts_, std::move(job));
 }
 
--- a/replay/generate.cpp
+++ b/replay/generate.cpp
@@ -50,6 +50,9 @@
     std::uint64_t state_;
 };
 
+// Outside floods the mixes ask for 45 to 80% of the engines' time at the best
+// split of roles, so that a policy can serve everything if it follows the mix.
+
 /// Lengths and tenants of one kind of work.
 struct kind_shape
 {
@@ -108,7 +111,7 @@
                {{"digest", 2, 256, 500}, 3000, 7000, 100, 220, 3},
                {{"blurb", 2, 128, 800}, 250, 500, 250, 500, 4}};
     // Dawn digests, early bookings, booking rush, quiet with blurbs.
-    p.mixes = {{1.5, 1, 9, 0.5}, {12, 6, 4, 1}, {34, 8, 0.3, 1}, {6, 4, 1, 14}};
+    p.mixes = {{1.5, 1, 7, 0.5}, {9, 5, 3, 1}, {24, 6, 0.3, 1}, {5, 4, 1, 12}};
     p.least_urgent_flood = {0, 0, 14, 45};
     p.most_urgent_flood = {90, 0, 0, 0};
     return p;
@@ -129,7 +132,8 @@
                {{"translation", 2, 128, 600}, 250, 700, 180, 420, 10},
                {{"headline", 2, 128, 100}, 200, 300, 10, 40, 10}};
     // Layout wave, proof checks, translations, mixed.
-    p.mixes = {{7.5, 1, 2, 2}, {1.2, 9, 2, 4}, {1.5, 1, 22, 10}, {4, 4, 6, 5}};
+    p.mixes = {
+        {5.5, 0.8, 2, 2}, {1, 6.5, 2, 3}, {1.2, 0.8, 18, 8}, {3, 3, 6, 5}};
     p.least_urgent_flood = {0, 0, 75, 30};
     p.most_urgent_flood = {22, 0, 0, 0};
     return p;
--- a/replay/report.cpp
+++ b/replay/report.cpp
@@ -4,6 +4,7 @@
 #include "settings/reader.hpp"
 
 #include <algorithm>
+#include <future>
 #include <iomanip>
 
 namespace poplar::replay
@@ -12,6 +13,9 @@
 namespace
 {
 
+/// Runs are independent of each other; more would crowd out other work.
+constexpr std::size_t runs_at_once = 4;
+
 double best_baseline(const comparison& c)
 {
     double best = 0;
@@ -114,10 +118,17 @@
     c.floods = t.floods;
     fill_floods(t, c);
     c.oracle = oracle_worth_tokens(t, engine_constants());
-    for (const policy_choice& choice : all_policies())
+    const auto& choices = all_policies();
+    most = std::min(most, choices.size());
+    for (std::size_t first = 0; first < most; first += runs_at_once)
     {
-        if (c.policies.size() < most)
-            c.policies.push_back({choice, run(t, choice)});
+        std::vector<std::future<figures>> runs;
+        for (std::size_t i = first; i < std::min(most, first + runs_at_once);
+             ++i)
+            runs.push_back(std::async(std::launch::async, [&t, &choices, i]
+                                      { return run(t, choices[i]); }));
+        for (std::size_t i = 0; i < runs.size(); ++i)
+            c.policies.push_back({choices[first + i], runs[i].get()});
     }
     return c;
 }
@@ -127,7 +138,9 @@
     out << std::fixed << std::setprecision(2) << "trace " << c.trace_name
         << ": goodput in 1,000 worth-weighted and plain tokens on target; "
            "ratio to best baseline and to oracle ("
-        << c.oracle / 1000 << "); part on target of ranks";
+        << c.oracle / 1000 << " of "
+        << c.policies.front().result.offered_worth_tokens / 1000
+        << " offered); part on target of ranks";
     for (const std::string& rank : c.ranks)
         out << ' ' << rank;
     out << "; kept in floods by rank; role changes; refusals; Retry-After "
--- a/replay/simulation.cpp
+++ b/replay/simulation.cpp
@@ -121,7 +121,6 @@
         policy::rank_demand& d = input.demand.emplace_back();
         d.offered = w.accepted;
         d.offered += w.refused;
-        d.long_prompt = w.long_prompt;
     }
     for (member& m : cluster_.members())
     {
