--- a/policy/router.cpp
+++ b/policy/router.cpp
@@ -13,8 +13,8 @@
 /// Score added for each stream above the slots of an engine, in parts of the
 /// slots: a full engine makes the stream wait for a whole answer.
 constexpr double overfull_seconds = 5;
-/// Entries of own work kept per engine; older ones count until the report.
-constexpr std::size_t most_sent = 512;
+/// Changes of own work kept per engine between reports.
+constexpr std::size_t most_changes = 512;
 
 } // namespace
 
@@ -113,11 +113,18 @@
     e.reported = r;
     e.received = now;
     while (!e.since.empty() && e.since.front().at <= r.measured_at)
-    {
-        e.sent_prompt -= e.since.front().prompt;
-        e.sent_streams -= e.since.front().streams;
         e.since.pop_front();
+    own_change then{r.measured_at, e.own_prompt, e.own_streams};
+    for (const own_change& later : e.since)
+    {
+        then.prompt -= later.prompt;
+        then.streams -= later.streams;
     }
+    e.foreign_prompt =
+        std::max<std::int64_t>(0, r.queued_prompt_tokens.value -
+                                      std::max<std::int64_t>(0, then.prompt));
+    e.foreign_streams =
+        std::max(0, static_cast<int>(r.streams) - std::max(0, then.streams));
 }
 
 void router::cache_events(engine_index engine,
@@ -195,8 +202,7 @@
     const double speed = computes_prompts_only(e.info.role)
                              ? settings_.speed.prefill_tokens_per_second
                              : settings_.speed.shared_prefill_rate();
-    const std::int64_t queued = std::max<std::int64_t>(
-        0, e.reported.queued_prompt_tokens.value + e.sent_prompt);
+    const std::int64_t queued = e.foreign_prompt + e.own_prompt;
     const std::int64_t own =
         r.kind == route_kind::decode
             ? 0
@@ -214,8 +220,7 @@
     double result = start;
     if (r.kind != route_kind::prefill)
     {
-        const double streams = std::max(
-            0.0, static_cast<double>(e.reported.streams) + e.sent_streams);
+        const double streams = e.foreign_streams + e.own_streams;
         const double used = streams / settings_.speed.max_streams;
         result += used * settings_.stream_seconds;
         result += std::max(0.0, used - 1 + 1.0 / settings_.speed.max_streams) *
@@ -258,20 +263,23 @@
     return best;
 }
 
-void router::add_sent(engine_index engine, const sent_work& w)
+void router::add_own(engine_index engine, const own_change& change)
 {
     engine_state& e = engines_.at(engine);
-    e.sent_prompt += w.prompt;
-    e.sent_streams += w.streams;
-    if (e.since.size() < most_sent)
-        e.since.push_back(w);
-    else
+    if (!e.present)
+        return;
+    // Work of a removed engine may end after another took its place.
+    e.own_prompt = std::max<std::int64_t>(0, e.own_prompt + change.prompt);
+    e.own_streams = std::max(0, e.own_streams + change.streams);
+    if (e.since.size() < most_changes)
     {
-        // Merged into the newest: it stays counted for longer, never shorter.
-        e.since.back().at = w.at;
-        e.since.back().prompt += w.prompt;
-        e.since.back().streams += w.streams;
+        e.since.push_back(change);
+        return;
     }
+    // Reports are missing: times blur, sums stay right.
+    e.since.back().at = change.at;
+    e.since.back().prompt += change.prompt;
+    e.since.back().streams += change.streams;
 }
 
 void router::dispatched(engine_index engine, const route_request& request,
@@ -282,16 +290,22 @@
     const std::int64_t prompt =
         request.kind == route_kind::decode ? 0 : uncached.value;
     const int streams = request.kind == route_kind::prefill ? 0 : 1;
-    add_sent(engine, {now, prompt, streams});
+    add_own(engine, {now, prompt, streams});
     for (std::uint64_t block : request.blocks)
         index_.add(engine, block);
 }
 
+void router::prompt_computed(engine_index engine, token_count uncached,
+                             mono_time now)
+{
+    if (engine < engines_.size())
+        add_own(engine, {now, -uncached.value, 0});
+}
+
 void router::finished(engine_index engine, mono_time now)
 {
-    if (engine < engines_.size() && engines_[engine].present &&
-        !computes_prompts_only(engines_[engine].info.role))
-        add_sent(engine, {now, 0, -1});
+    if (engine < engines_.size())
+        add_own(engine, {now, 0, -1});
 }
 
 std::size_t router::memory_bytes() const
@@ -299,7 +313,7 @@
     std::size_t bytes = index_.memory_bytes();
     bytes += engines_.capacity() * sizeof(engine_state);
     for (const engine_state& e : engines_)
-        bytes += e.since.size() * sizeof(sent_work) +
+        bytes += e.since.size() * sizeof(own_change) +
                  e.info.instance.value.capacity() +
                  e.info.group.value.capacity() +
                  e.info.failure_domain.value.capacity();
--- a/policy/router.hpp
+++ b/policy/router.hpp
@@ -96,7 +96,8 @@
     std::optional<engine_index> find(const instance_id& instance) const;
     const engine_info& info(engine_index engine) const;
 
-    /// Work sent after `measured_at` stays counted on top of the report.
+    /// What the report shows beyond this entry's own work at `measured_at` is
+    /// the work of others; own work is counted as it is now.
     void report(engine_index engine, const engine_report& r, mono_time now);
     /// Applies events in order of sequence; a gap, or `lost`, clears what is
     /// known of the engine's cache first.
@@ -106,10 +107,14 @@
     std::optional<route> choose(const route_request& request, mono_time now,
                                 random_source& random) const;
 
-    /// Records a dispatch: load until the next report, and cached blocks.
+    /// Records a dispatch: own load, and cached blocks.
     void dispatched(engine_index engine, const route_request& request,
                     token_count uncached, mono_time now);
-    /// A stream of this entry ended (or a prefill was done).
+    /// A dispatched prompt is computed (or will not be): `uncached` as given
+    /// to dispatched.
+    void prompt_computed(engine_index engine, token_count uncached,
+                         mono_time now);
+    /// A dispatched stream ended; not for route_kind::prefill.
     void finished(engine_index engine, mono_time now);
 
     std::size_t engines() const
@@ -119,11 +124,12 @@
     std::size_t memory_bytes() const;
 
 private:
-    struct sent_work
+    /// Change of this entry's own work at an engine.
+    struct own_change
     {
         mono_time at;
         std::int64_t prompt = 0;
-        int streams = 0; ///< 1 for a start, -1 for an end.
+        int streams = 0;
     };
     struct engine_state
     {
@@ -131,9 +137,11 @@
         bool present = false;
         engine_report reported;
         mono_time received;
-        std::deque<sent_work> since; ///< Since the last report.
-        std::int64_t sent_prompt = 0;
-        int sent_streams = 0;
+        std::deque<own_change> since; ///< Since the last report's measurement.
+        std::int64_t own_prompt = 0;
+        int own_streams = 0;
+        std::int64_t foreign_prompt = 0;
+        int foreign_streams = 0;
         std::uint64_t next_sequence = 0;
         std::uint32_t place = 0; ///< In the list of its group and role.
     };
@@ -146,7 +154,7 @@
     std::vector<engine_index>* list_of(const engine_info& info);
     void enlist(engine_index engine);
     void unlist(engine_index engine);
-    void add_sent(engine_index engine, const sent_work& w);
+    void add_own(engine_index engine, const own_change& change);
     std::vector<engine_index> candidates(
         const route_request& request, const std::vector<engine_index>& list,
         const std::vector<engine_index>& holders, random_source& random) const;
--- a/replay/entry_model.cpp
+++ b/replay/entry_model.cpp
@@ -204,6 +204,8 @@
     a.engine = engine;
     a.at_engine = true;
     ++open_[engine];
+    a.computing = prompt;
+    a.has_stream = kind != route_kind::prefill;
     if (kind_ == entry_kind::poplar)
         router_.dispatched(static_cast<policy::engine_index>(engine),
                            route_of(a, kind, prompt), token_count(prompt), now);
@@ -252,13 +254,22 @@
     return true;
 }
 
+void entry_model::prompt_ended(attempt& a, mono_time now)
+{
+    if (kind_ == entry_kind::poplar && a.computing > 0)
+        router_.prompt_computed(static_cast<policy::engine_index>(a.engine),
+                                token_count(a.computing), now);
+    a.computing = 0;
+}
+
 void entry_model::left_engine(attempt& a, mono_time now)
 {
     if (!a.at_engine)
         return;
+    prompt_ended(a, now);
     a.at_engine = false;
     --open_[a.engine];
-    if (kind_ == entry_kind::poplar)
+    if (kind_ == entry_kind::poplar && a.has_stream)
         router_.finished(static_cast<policy::engine_index>(a.engine), now);
 }
 
@@ -282,6 +293,7 @@
         break;
     }
     case engine_signal::first_token:
+        prompt_ended(a, now);
         if (a.first_token == mono_time())
             a.first_token = now;
         admission_.first_token(request, now);
--- a/replay/entry_model.hpp
+++ b/replay/entry_model.hpp
@@ -36,7 +36,9 @@
     // State at the entry:
     std::size_t engine = 0;
     bool at_engine = false;
-    bool split = false; ///< A prefill engine computes the prompt.
+    std::int64_t computing = 0; ///< Prompt tokens sent, until computed.
+    bool has_stream = false;    ///< As told to the router.
+    bool split = false;         ///< A prefill engine computes the prompt.
     bool guaranteed = false;
     std::vector<std::uint64_t> blocks;
 };
@@ -89,6 +91,7 @@
                  std::int64_t prompt, mono_time now);
     void refuse(std::size_t id, duration retry_after,
                 policy::refusal_cause cause, mono_time now);
+    void prompt_ended(attempt& a, mono_time now);
     void left_engine(attempt& a, mono_time now);
     void refresh_members(mono_time now);
     void update_load(mono_time now);
--- a/tests/policy_router_test.cpp
+++ b/tests/policy_router_test.cpp
@@ -77,6 +77,7 @@
     ASSERT_TRUE(first);
     EXPECT_EQ(first->cached, token_count(0));
     g.r.dispatched(first->engine, q, token_count(3200), start_time);
+    g.r.prompt_computed(first->engine, token_count(3200), start_time + 1s);
     g.r.report(first->engine, idle_report(start_time + 2s), start_time + 2s);
     const auto second = g.r.choose(q, start_time + 2s, g.random);
     EXPECT_EQ(second->engine, first->engine);
