policy: short prompts use prefill engines that have time to spare

Cause: prompts beside decoding take 0.3 of a stream engine's time, so streams held their slots longer (press-swing: slots at 1.0 with prefill engines idle). Change: short prompts go to prefill engines below half of their window.

replay: streams share the KV pieces of a shared prefix, as paged engines do. Without it 9 layouts filled an engine and 18 engines could not carry the layout wave at any split.

--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -16,6 +16,9 @@
 constexpr duration history_step = std::chrono::milliseconds(50);
 constexpr double quantum_seconds = 0.05;
 
+/// Part of a pool's window below which it has time for other prompts.
+constexpr double spare_part = 0.5;
+
 double as_double(token_count n)
 {
     return static_cast<double>(n.value);
@@ -159,22 +162,31 @@
     const bool guaranteed = within_share(rank);
     if (load_.decode_rate <= 0 || (!guaranteed && free_slots() < 1))
         return std::nullopt;
-    const pool first =
-        w.prompt >= settings_.split_threshold ? prefill_pool : shared_pool;
-    const pool second = first == prefill_pool ? shared_pool : prefill_pool;
-    const bool first_room = pool_has_room(rank, guaranteed, first);
-    const bool second_room = pool_has_room(rank, guaranteed, second);
-    if (first_room && in_time(rank, guaranteed, w, first_token_by, first))
-        return first;
-    if (second_room && in_time(rank, guaranteed, w, first_token_by, second))
-        return second;
-    // Late in either: whichever is faster.
-    if (pool_has_room(rank, guaranteed, prefill_pool))
+    // A stream engine computes prompts less efficiently and slows its streams:
+    // short prompts take prefill engines too while these have time to spare.
+    const bool is_long = w.prompt >= settings_.split_threshold;
+    const bool prefill_room = pool_has_room(rank, guaranteed, prefill_pool);
+    if (prefill_room && (is_long || has_spare(prefill_pool)))
         return prefill_pool;
-    return load_.prefill_rate <= 0 &&
-                   pool_has_room(rank, guaranteed, shared_pool)
-               ? std::optional(shared_pool)
-               : std::nullopt;
+    if (pool_has_room(rank, guaranteed, shared_pool) &&
+        (load_.prefill_rate <= 0 ||
+         in_time(rank, guaranteed, w, first_token_by, shared_pool)))
+        return shared_pool;
+    return prefill_room ? std::optional(prefill_pool) : std::nullopt;
+}
+
+bool admission::has_spare(pool at) const
+{
+    double computing = foreign_prompt_[at];
+    double prompts = 0;
+    for (const rank_state& r : ranks_)
+    {
+        computing += r.computing[0][at] + r.computing[1][at];
+        prompts += r.prompts[0][at] + r.prompts[1][at];
+    }
+    const double window = pool_rate(at) * settings_.prompt_window;
+    return computing < spare_part * window ||
+           prompts < spare_part * pool_rate(at) / pool_speed(at);
 }
 
 void admission::advance(mono_time now)
--- a/policy/admission.hpp
+++ b/policy/admission.hpp
@@ -53,9 +53,10 @@
 {
     std::vector<sheet::rank> ranks;
     engine_speed speed;
-    /// Prompts of at least this length go to prefill engines, shorter ones to
-    /// engines that run streams; either kind to the other engines when its own
-    /// are busy and the others meet its target.
+    /// Prompts of at least this length have first call on prefill engines;
+    /// shorter ones use them while they have time to spare. When they have
+    /// none, engines that run streams compute a prompt if that meets its
+    /// target.
     token_count split_threshold{2048};
     /// Prompt work kept at the engines, in seconds of their speed: enough to
     /// keep them busy between events, little enough that order is decided here.
@@ -245,6 +246,7 @@
     bool pool_has_room(std::size_t rank, bool guaranteed, pool at) const;
     bool in_time(std::size_t rank, bool guaranteed, const work& w,
                  mono_time first_token_by, pool at) const;
+    bool has_spare(pool at) const;
     /// Pool that can take the request now.
     std::optional<pool> pool_for(std::size_t rank, const work& w,
                                  mono_time first_token_by) const;
--- a/replay/engine_model.cpp
+++ b/replay/engine_model.cpp
@@ -54,7 +54,8 @@
 
 std::int64_t engine_model::pieces_of(const engine_job& job) const
 {
-    const auto tokens = job.prompt + static_cast<std::int64_t>(job.generated);
+    const auto tokens =
+        job.prompt - job.shared + static_cast<std::int64_t>(job.generated);
     return tokens / constants_.piece_tokens + 1;
 }
 
@@ -62,10 +63,12 @@
 {
     std::size_t n = 0;
     std::int64_t pieces = 0;
+    std::int64_t shared = 0;
     while (n < streams_.size() && n < constants_.max_batch)
     {
         pieces += pieces_of(streams_[n]);
-        if (pieces > constants_.kv_pieces && n > 0)
+        shared = std::max(shared, streams_[n].shared / constants_.piece_tokens);
+        if (pieces + shared > constants_.kv_pieces && n > 0)
             break;
         ++n;
     }
--- a/replay/engine_model.hpp
+++ b/replay/engine_model.hpp
@@ -41,6 +41,7 @@
     int priority = 0; ///< Lower goes first.
     std::vector<std::uint64_t> blocks;
     std::int64_t prompt = 0;    ///< Tokens to have in the KV cache.
+    std::int64_t shared = 0;    ///< Of these, held once for all streams.
     std::int64_t output = 0;    ///< Of the whole answer.
     double generated = 0;       ///< Tokens of the answer so far.
     double left_to_compute = 0; ///< Prompt tokens.
@@ -91,6 +92,7 @@
 
 private:
     std::size_t active_streams() const;
+    /// KV pieces that the stream holds alone.
     std::int64_t pieces_of(const engine_job& job) const;
     void compute_prompts(double budget, std::vector<engine_output>& out);
     void decode(std::size_t active, double tokens,
--- a/replay/entry_model.cpp
+++ b/replay/entry_model.cpp
@@ -71,6 +71,7 @@
         job.priority = 0;
     job.blocks = a.blocks;
     job.prompt = r.prompt;
+    job.shared = std::min(trace_.kinds[r.kind].shared_prefix, r.prompt);
     job.output = r.output;
     return job;
 }
--- a/replay/main.cpp
+++ b/replay/main.cpp
@@ -60,6 +60,19 @@
     return missed == 0 ? 0 : 3;
 }
 
+void write_timeline(const std::vector<trace>& traces, const std::string& name)
+{
+    for (const policy_choice& choice : all_policies())
+    {
+        if (choice.name != name)
+            continue;
+        for (const trace& t : traces)
+            run(t, choice, &std::cout);
+        return;
+    }
+    throw trace_error("unknown policy " + name);
+}
+
 void write_all(const std::vector<trace>& traces, const std::string& folder)
 {
     for (const trace& t : traces)
@@ -90,8 +103,9 @@
         TCLAP::ValueArg<unsigned> most("p", "policies",
                                        "replays only the first policies", false,
                                        100, "number", line);
-        TCLAP::SwitchArg timeline(
-            "t", "timeline", "writes what the first policy did instead", line);
+        TCLAP::ValueArg<std::string> timeline(
+            "t", "timeline", "writes what this policy did, and nothing else",
+            false, "", "policy", line);
         TCLAP::UnlabeledMultiArg<std::string> files("trace", "trace files",
                                                     false, "file", line);
         line.parse(argc, argv);
@@ -102,10 +116,9 @@
             write_all(traces, folder.getValue());
             return 0;
         }
-        if (timeline.getValue())
+        if (!timeline.getValue().empty())
         {
-            for (const trace& t : traces)
-                run(t, all_policies().front(), &std::cout);
+            write_timeline(traces, timeline.getValue());
             return 0;
         }
         return replay_all(traces, outcomes.getValue(), most.getValue());
