--- a/replay/engine_model.cpp
+++ b/replay/engine_model.cpp
@@ -24,7 +24,8 @@
     s.prefill_tokens_per_second = c.prefill_tokens_per_second;
     s.decode_tokens_per_second = c.max_batch * 1000 / step_ms;
     s.max_streams = c.max_batch;
-    s.shared_prefill = c.prefill_time_share * c.chunk_efficiency;
+    s.shared_prefill = c.prefill_time_share;
+    s.shared_efficiency = c.chunk_efficiency;
     return s;
 }
 
@@ -38,8 +39,11 @@
 {
     const auto cached =
         static_cast<std::int64_t>(cached_blocks(job) * policy::block_tokens);
+    // A resumed answer's tokens are computed again with its prompt.
+    const std::int64_t all =
+        job.prompt + static_cast<std::int64_t>(job.generated);
     job.left_to_compute =
-        static_cast<double>(std::max<std::int64_t>(1, job.prompt - cached));
+        static_cast<double>(std::max<std::int64_t>(1, all - cached));
     insert_by_priority(prompts_, std::move(job));
 }
 
@@ -50,7 +54,8 @@
 
 std::int64_t engine_model::pieces_of(const engine_job& job) const
 {
-    const auto tokens = job.prompt + static_cast<std::int64_t>(job.generated);
+    const auto tokens =
+        job.prompt - job.shared + static_cast<std::int64_t>(job.generated);
     return tokens / constants_.piece_tokens + 1;
 }
 
@@ -58,10 +63,12 @@
 {
     std::size_t n = 0;
     std::int64_t pieces = 0;
+    std::int64_t shared = 0;
     while (n < streams_.size() && n < constants_.max_batch)
     {
         pieces += pieces_of(streams_[n]);
-        if (pieces > constants_.kv_pieces && n > 0)
+        shared = std::max(shared, streams_[n].shared / constants_.piece_tokens);
+        if (pieces + shared > constants_.kv_pieces && n > 0)
             break;
         ++n;
     }
