--- a/entry/call_session.hpp
+++ b/entry/call_session.hpp
@@ -34,7 +34,7 @@
     bool is_once = false;
     idempotency_key key;
     unsigned shard = 0;
-    mono_time deadline{};
+    mono_time deadline;
 };
 
 struct call_limits
@@ -156,9 +156,9 @@
     unsigned attempts_ = 0;
     std::vector<instance_id> avoid_;
     ip_address hint_;
-    mono_time started_{};
-    mono_time detached_at_{};
-    mono_time next_choice_{};
+    mono_time started_;
+    mono_time detached_at_;
+    mono_time next_choice_;
 };
 
 } // namespace poplar::entry
--- a/entry/dispatch_policy.hpp
+++ b/entry/dispatch_policy.hpp
@@ -39,8 +39,8 @@
     std::string prompt;
     token_count prompt_tokens;
     token_count max_output;
-    mono_time arrived{};
-    mono_time deadline{};
+    mono_time arrived;
+    mono_time deadline;
 };
 
 enum class verdict
--- a/entry/engine_feed.hpp
+++ b/entry/engine_feed.hpp
@@ -25,7 +25,7 @@
     struct last_seen
     {
         unusable why = unusable::not_connected;
-        mono_time reported_at{};
+        mono_time reported_at;
     };
 
     dispatch_policy& policy_;
--- a/entry/live_config.cpp
+++ b/entry/live_config.cpp
@@ -1,7 +1,8 @@
 #include "entry/live_config.hpp"
 
+#include "control/assignments.hpp"
+
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace poplar::entry
 {
@@ -9,71 +10,48 @@
 namespace
 {
 
-fb::engine_role parse_role(const std::string& text)
-{
-    for (const fb::engine_role role : fb::EnumValuesengine_role())
-        if (text == fb::EnumNameengine_role(role))
-            return role;
-    throw parse_error("unknown role \"" + text + "\"");
-}
-
-fb::upstream_state parse_state(const std::string& text)
-{
-    for (const fb::upstream_state state : fb::EnumValuesupstream_state())
-        if (text == fb::EnumNameupstream_state(state))
-            return state;
-    throw parse_error("unknown state \"" + text + "\"");
-}
+// The enumerations of the sheet and of the inner protocol have equal values.
+static_assert(static_cast<int>(sheet::engine_role::mixed) ==
+              static_cast<int>(fb::engine_role::mixed));
+static_assert(static_cast<int>(sheet::upstream_state::withdrawn) ==
+              static_cast<int>(fb::upstream_state::withdrawn));
 
-fb::assignmentT parse_part(const nlohmann::json& item)
+fb::assignmentT make_part(const control::assignment& a)
 {
     fb::assignmentT part;
-    part.instance = item.at("instance").get<std::string>();
-    part.role = parse_role(item.value("role", "unassigned"));
-    part.model = item.value("model", "");
-    part.model_version = item.value("version", "");
-    part.adapters = item.value("adapters", std::vector<std::string>());
-    part.state = parse_state(item.value("state", "active"));
+    part.instance = a.instance.value;
+    part.role = static_cast<fb::engine_role>(a.role);
+    part.model = a.model.value;
+    part.model_version = a.version.value;
+    for (const adapter_id& adapter : a.adapters)
+        part.adapters.push_back(adapter.value);
+    part.state = static_cast<fb::upstream_state>(a.state);
     return part;
 }
 
-group_assignments parse_json(const platform::object& o)
+} // namespace
+
+group_assignments parse_assignments(const platform::object& o)
 {
-    const nlohmann::json json = nlohmann::json::parse(o.value);
+    const control::group_assignments read =
+        control::parse_group_assignments(o.value);
     group_assignments result;
-    result.group = group_id(o.key.value.substr(assignments_prefix.size()));
+    result.group =
+        group_id(o.key.value.substr(control::assignments_prefix.size()));
     result.version = o.version;
-    result.epoch = owner_epoch(json.value("epoch", std::uint64_t(0)));
-    const auto generation = json.value("sheet_generation", std::uint64_t(0));
-    const auto list = json.find("instances");
-    if (list == json.end())
-        return result;
-    for (const nlohmann::json& item : *list)
+    result.epoch = read.epoch;
+    for (const control::assignment& a : read.assignments)
     {
-        fb::assignmentT part = parse_part(item);
+        fb::assignmentT part = make_part(a);
         part.group = result.group.value;
         part.version = o.version.value;
-        part.epoch = result.epoch.value;
-        part.sheet_generation = generation;
+        part.epoch = read.epoch.value;
+        part.sheet_generation = read.generation.value;
         result.parts.push_back(std::move(part));
     }
     return result;
 }
 
-} // namespace
-
-group_assignments parse_assignments(const platform::object& o)
-{
-    try
-    {
-        return parse_json(o);
-    }
-    catch (const nlohmann::json::exception& ec)
-    {
-        throw parse_error(o.key.value + ": " + ec.what());
-    }
-}
-
 std::set<instance_id> drained_instances(const sheet::sheet& s)
 {
     std::set<instance_id> result(s.drained.begin(), s.drained.end());
--- a/entry/live_config.hpp
+++ b/entry/live_config.hpp
@@ -20,7 +20,6 @@
 namespace fb = wire::fb;
 
 inline const std::string sheet_prefix = "sheet/";
-inline const std::string assignments_prefix = "assignments/";
 
 /// The sheet in force; `sheet` is null until there is one.
 struct sheet_in_force
--- a/entry/membership.hpp
+++ b/entry/membership.hpp
@@ -54,16 +54,16 @@
     bool is_listed = true;
     link_state link = link_state::down;
     std::uint64_t connection = 0; ///< Serial of the open connection.
-    mono_time changed_at{};       ///< Of `link` to or from open.
-    mono_time next_attempt{};
+    mono_time changed_at;         ///< Of `link` to or from open.
+    mono_time next_attempt;
     unsigned failures = 0; ///< Attempts since the connection was last open.
     std::uint64_t incarnation = 0;
     bool has_goaway = false;
     bool has_report = false;
     fb::load_reportT report;
-    mono_time reported_at{};
+    mono_time reported_at;
     shard_set shards; ///< Last reported; kept while the link is down.
-    mono_time claimed_at{};
+    mono_time claimed_at;
 };
 
 struct membership_options
--- a/entry/platform_feed.cpp
+++ b/entry/platform_feed.cpp
@@ -1,5 +1,6 @@
 #include "entry/platform_feed.hpp"
 
+#include "control/assignments.hpp"
 #include "observe/log.hpp"
 
 #include <utility>
@@ -30,7 +31,7 @@
           store, watch_options(sheet_prefix, options.watch),
           {[this](const platform::object& o) { take_sheet(o); }, {}}),
       assignments_watcher_(
-          store, watch_options(assignments_prefix, options.watch),
+          store, watch_options(control::assignments_prefix, options.watch),
           {[this](const platform::object& o) { take_assignments(o); }, {}}),
       poller_([this] { poll_instances(); })
 {
--- a/entry/stream_session.hpp
+++ b/entry/stream_session.hpp
@@ -46,7 +46,7 @@
     std::string prompt;
     std::uint32_t max_tokens = 0;
     bool split = false; ///< Prefill on an engine of its own first.
-    mono_time deadline{};
+    mono_time deadline;
 };
 
 /// An engine chosen for a dispatch.
@@ -231,12 +231,12 @@
     bool may_have_run_ = false; ///< In a dispatch before the present one.
     unsigned losses_ = 0;       ///< Dispatches that ended with a failure.
     unsigned asks_ = 0;         ///< Attach requests without progress.
-    mono_time asked_at_{};
-    mono_time detached_at_{};
+    mono_time asked_at_;
+    mono_time detached_at_;
     /// Set from the loss of an engine until the next token arrives.
     std::optional<mono_time> resuming_since_;
     bool lacks_tail_ = false; ///< The end was seen, but not all tokens.
-    mono_time next_choice_{};
+    mono_time next_choice_;
 };
 
 } // namespace poplar::entry
--- a/entry/streams.cpp
+++ b/entry/streams.cpp
@@ -69,7 +69,7 @@
     instance_id engine ABSL_GUARDED_BY(mutex);   ///< Of the last dispatch.
     bool has_leg ABSL_GUARDED_BY(mutex) = false; ///< It is not over.
     std::string reason ABSL_GUARDED_BY(mutex);   ///< Of the last choice.
-    mono_time last_token ABSL_GUARDED_BY(mutex){};
+    mono_time last_token ABSL_GUARDED_BY(mutex);
 };
 
 stream_table::stream_table(path_services services, session_limits limits)
--- a/tests/entry_fake_agent.hpp
+++ b/tests/entry_fake_agent.hpp
@@ -173,7 +173,7 @@
             return;
         }
     }
-    void open(const wire::connection_ptr& c, fb::open_streamT o)
+    void open(const wire::connection_ptr& c, const fb::open_streamT& o)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
     {
         ++opens_;
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -2,6 +2,7 @@
 // callers over HTTP to agents, and against new work for instances that leave.
 #include "entry/entry.hpp"
 
+#include "control/assignments.hpp"
 #include "entry_fake_agent.hpp"
 #include "net/http_client.hpp"
 #include "platform/memory_store.hpp"
@@ -133,8 +134,8 @@
         record.generation = sheet_generation(generation);
         record.export_id = std::to_string(generation);
         record.text = text;
-        const object_version version = store_.get(sheet::sheet_key).version;
-        store_.put(sheet::sheet_key, sheet::to_json(record), version);
+        const object_version version = store.get(sheet::sheet_key).version;
+        store.put(sheet::sheet_key, sheet::to_json(record), version);
     }
     fake_agent& add(fake_agent_options options, const std::string& group = "g")
     {
@@ -143,11 +144,11 @@
         r.group = group_id(group);
         r.kind = group == "g" ? platform::instance_kind::engine
                               : platform::instance_kind::service;
-        agents_.push_back(std::make_unique<fake_agent>(std::move(options)));
-        r.address = agents_.back()->address();
-        records_.push_back(r);
-        store_.set_instances(records_);
-        return *agents_.back();
+        agents.push_back(std::make_unique<fake_agent>(std::move(options)));
+        r.address = agents.back()->address();
+        records.push_back(r);
+        store.set_instances(records);
+        return *agents.back();
     }
     void start(bool with_sheet = true)
     {
@@ -160,15 +161,15 @@
         s.limits.max_body = byte_count(64 << 10);
         if (with_sheet)
             publish(5);
-        entry_ = std::make_unique<entry>(s, store_, make_basic_policy({}));
-        ASSERT_TRUE(eventually([&] { return usable() == agents_.size(); }));
+        running = std::make_unique<entry>(s, store, make_basic_policy({}));
+        ASSERT_TRUE(eventually([&] { return usable() == agents.size(); }));
         ASSERT_TRUE(
-            eventually([&] { return entry_->is_ready() == with_sheet; }));
+            eventually([&] { return running->is_ready() == with_sheet; }));
     }
     std::size_t usable()
     {
         std::size_t n = 0;
-        for (const auto& [group, view] : entry_->take_control_view())
+        for (const auto& [group, view] : running->take_control_view())
             n += static_cast<std::size_t>(std::ranges::count(
                 view.agents, unusable::none, &agent_load::why));
         return n;
@@ -187,7 +188,7 @@
     {
         net::client_request r;
         r.method = body.empty() ? "GET" : "POST";
-        r.to = entry_->http_address();
+        r.to = running->http_address();
         r.path = path;
         r.body = body;
         r.timeout = seconds(30);
@@ -196,7 +197,7 @@
     net::http_response chat(std::uint32_t tokens, bool stream,
                             const std::string& prompt = "a b")
     {
-        return client_
+        return client
             .fetch(request("/v1/chat/completions",
                            chat_body(tokens, stream, prompt)))
             .response;
@@ -219,7 +220,7 @@
             absl::MutexLock lock(&x->mutex);
             x->result = std::move(r);
         };
-        x->number = client_.start(
+        x->number = client.start(
             request("/v1/chat/completions", chat_body(tokens, true)), h);
         return x;
     }
@@ -227,14 +228,14 @@
     {
         net::client_request r = request("/services/desk/book", "seat 4");
         r.headers = {{"Idempotency-Key", key}};
-        return client_.fetch(r).response;
+        return client.fetch(r).response;
     }
     json admin(const std::string& path)
     {
         net::client_request r;
-        r.to = entry_->admin_address();
+        r.to = running->admin_address();
         r.path = path;
-        return json::parse(client_.fetch(r).response.body);
+        return json::parse(client.fetch(r).response.body);
     }
     static std::string header(const net::http_response& r, const char* name)
     {
@@ -242,11 +243,11 @@
         return value ? *value : "";
     }
 
-    platform::memory_store store_;
-    std::vector<platform::instance_record> records_;
-    std::vector<std::unique_ptr<fake_agent>> agents_;
-    net::http_client client_;
-    std::unique_ptr<entry> entry_;
+    platform::memory_store store;
+    std::vector<platform::instance_record> records;
+    std::vector<std::unique_ptr<fake_agent>> agents;
+    net::http_client client;
+    std::unique_ptr<entry> running;
 };
 
 std::unique_ptr<fb::call_resultT> done(const fb::callT&)
@@ -285,7 +286,7 @@
     EXPECT_EQ(header(refused, "Poplar-Ran"), "no");
     EXPECT_NE(header(refused, "Retry-After"), "");
     publish(9);
-    ASSERT_TRUE(eventually([&] { return entry_->is_ready(); }));
+    ASSERT_TRUE(eventually([&] { return running->is_ready(); }));
     publish(8);
     std::this_thread::sleep_for(milliseconds(100));
     EXPECT_EQ(admin("/status")["sheet_generation"], 9);
@@ -317,7 +318,7 @@
     {
         net::client_request r = request(w.path, w.body);
         r.headers = {{"Poplar-Tenant", w.tenant}, {"Poplar-Rank", w.rank}};
-        const net::http_response got = client_.fetch(r).response;
+        const net::http_response got = client.fetch(r).response;
         EXPECT_EQ(got.status, w.status) << w.type;
         EXPECT_EQ(json::parse(got.body)["error"]["type"], w.type);
         EXPECT_EQ(header(got, "Poplar-Ran"), "no") << w.type;
@@ -333,12 +334,12 @@
     const auto x = start_chat(30);
     ASSERT_TRUE(eventually(
         [&] { return x->text().find(token_text(9)) != std::string::npos; }));
-    const std::size_t first = agents_[0]->opens() == 1 ? 0 : 1;
-    agents_[1 - first]->release();
-    agents_[first]->kill();
+    const std::size_t first = agents[0]->opens() == 1 ? 0 : 1;
+    agents[1 - first]->release();
+    agents[first]->kill();
     ASSERT_TRUE(eventually([&] { return x->has_ended(); }));
     EXPECT_EQ(streamed_text(x->text()), whole_answer(30));
-    EXPECT_EQ(agents_[1 - first]->last_open().resume_text, whole_answer(10));
+    EXPECT_EQ(agents[1 - first]->last_open().resume_text, whole_answer(10));
 }
 
 TEST_F(entry_path, attaches_after_a_lost_connection)
@@ -395,7 +396,7 @@
         absl::MutexLock lock(&slow->mutex);
         slow->is_paused = false;
     }
-    client_.resume(slow->number);
+    client.resume(slow->number);
     ASSERT_TRUE(eventually([&] { return slow->has_ended(); }));
     EXPECT_EQ(streamed_text(slow->text()), whole_answer(8000));
 }
@@ -406,7 +407,7 @@
     start();
     const auto x = start_chat(30);
     ASSERT_TRUE(eventually([&] { return !x->text().empty(); }));
-    client_.cancel(x->number);
+    client.cancel(x->number);
     EXPECT_TRUE(eventually([&] { return agent.cancels() == 1; }));
     EXPECT_TRUE(
         eventually([&] { return admin("/status")["open_streams"] == 0; }));
@@ -415,15 +416,16 @@
 TEST_F(entry_path, assignments_reach_agents_on_connect_and_on_change)
 {
     const object_key key("assignments/g");
-    const std::string text =
-        R"({"epoch":1,"owner":"x","sheet_generation":5,"instances":)"
-        R"([{"instance":"e1","role":"decode","model":"m","version":"1"}]})";
-    const object_version first = store_.put(key, text, {}).version;
+    control::group_assignments assigned;
+    assigned.assignments = {
+        {instance_id("e1"), sheet::engine_role::decode, model_id("m")}};
+    const std::string text = control::to_json(assigned);
+    const object_version first = store.put(key, text, {}).version;
     fake_agent& agent = add({"e1", engine_report()});
     start();
     ASSERT_TRUE(eventually([&] { return !agent.assignments().empty(); }));
     EXPECT_EQ(agent.assignments().back().version, first.value);
-    const object_version second = store_.put(key, text, first).version;
+    const object_version second = store.put(key, text, first).version;
     ASSERT_TRUE(eventually(
         [&] { return agent.assignments().back().version == second.value; }));
     EXPECT_EQ(agent.assignments().back().role, fb::engine_role::decode);
@@ -477,8 +479,8 @@
     start();
     const auto x = start_chat(30);
     ASSERT_TRUE(eventually([&] { return !x->text().empty(); }));
-    std::thread drainer([&] { entry_->drain(); });
-    ASSERT_TRUE(eventually([&] { return !entry_->is_ready(); }));
+    std::thread drainer([&] { running->drain(); });
+    ASSERT_TRUE(eventually([&] { return !running->is_ready(); }));
     const net::http_response refused = chat(1, false);
     if (refused.status != 200) // 0 once the socket is closed.
         EXPECT_TRUE(refused.status == 503 || refused.status == 0);
