--- a/control/manager.cpp
+++ b/control/manager.cpp
@@ -72,10 +72,7 @@
 {
     sum.resize(std::max(sum.size(), more.size()));
     for (std::size_t i = 0; i < more.size(); ++i)
-    {
         sum[i].offered += more[i].offered;
-        sum[i].long_prompt += more[i].long_prompt;
-    }
 }
 
 token_count to_tokens(std::uint64_t n)
@@ -96,7 +93,6 @@
             to_tokens(r->prompt_tokens + r->refused_prompt_tokens);
         d.offered.output =
             to_tokens(r->output_tokens + r->refused_output_tokens);
-        d.long_prompt = to_tokens(r->long_prompt_tokens);
     }
     return demand;
 }
@@ -117,8 +113,6 @@
             static_cast<std::uint64_t>(demand[i].offered.prompt.value);
         r->output_tokens =
             static_cast<std::uint64_t>(demand[i].offered.output.value);
-        r->long_prompt_tokens =
-            static_cast<std::uint64_t>(demand[i].long_prompt.value);
         report.ranks.push_back(std::move(r));
     }
     return report;
--- a/entry/demand.cpp
+++ b/entry/demand.cpp
@@ -12,8 +12,6 @@
     rank_demand& d = groups_[group][rank];
     d.prompt += offered.prompt;
     d.output += offered.output;
-    if (offered.is_long)
-        d.long_prompt += offered.prompt;
 }
 
 void demand_counter::refused(const group_id& group, rank_index rank,
@@ -23,8 +21,6 @@
     rank_demand& d = groups_[group][rank];
     d.refused_prompt += offered.prompt;
     d.refused_output += offered.output;
-    if (offered.is_long)
-        d.long_prompt += offered.prompt;
 }
 
 std::map<group_id, group_demand> demand_counter::take()
--- a/entry/demand.hpp
+++ b/entry/demand.hpp
@@ -16,7 +16,6 @@
     token_count output; ///< Expected.
     token_count refused_prompt;
     token_count refused_output;
-    token_count long_prompt; ///< Of both, in prompts over the split threshold.
 };
 
 /// Work of one request as it was offered.
@@ -24,7 +23,6 @@
 {
     token_count prompt;
     token_count output; ///< Expected.
-    bool is_long = false;
 };
 
 using group_demand = std::map<rank_index, rank_demand>;
--- a/entry/dispatch_policy.hpp
+++ b/entry/dispatch_policy.hpp
@@ -41,7 +41,6 @@
     token_count max_output;
     mono_time arrived{};
     mono_time deadline{};
-    bool is_long = false; ///< At least the group's split threshold.
 };
 
 enum class verdict
@@ -59,6 +58,9 @@
     std::string figures; ///< For the decision record and the caller.
     /// Added to the rank's priority at the engine.
     int priority_boost = 0;
+    /// Whether a prefill engine computes the prompt; absent: by the group's
+    /// split threshold.
+    std::optional<bool> split;
     /// Estimated length of the answer; 0: not estimated.
     token_count expected_output{};
 };
--- a/entry/streams.cpp
+++ b/entry/streams.cpp
@@ -69,7 +69,7 @@
     instance_id engine ABSL_GUARDED_BY(mutex);   ///< Of the last dispatch.
     bool has_leg ABSL_GUARDED_BY(mutex) = false; ///< It is not over.
     std::string reason ABSL_GUARDED_BY(mutex);   ///< Of the last choice.
-    mono_time last_token ABSL_GUARDED_BY(mutex){};
+    mono_time last_token ABSL_GUARDED_BY(mutex);
 };
 
 stream_table::stream_table(path_services services, session_limits limits)
@@ -105,7 +105,7 @@
     const token_count output = answer.expected_output.value > 0
                                    ? answer.expected_output
                                    : v.max_output;
-    const offered_work offered{v.prompt_tokens, output, v.is_long};
+    const offered_work offered{v.prompt_tokens, output};
     const bool is_refused = answer.what == verdict::refused;
     services_.decisions->add(is_refused ? decision_kind::refused
                                         : decision_kind::admitted,
@@ -127,7 +127,7 @@
     feed(s,
          [&](stream_session& session)
          {
-             session.raise_priority(answer.priority_boost);
+             session.admit(answer.priority_boost, answer.split);
              return session.start(now());
          });
 }
