--- a/agent/main.cpp
+++ b/agent/main.cpp
@@ -15,8 +15,8 @@
     const agent_settings settings = parse_settings(all);
     const auto store = platform::make_http_store({settings.platform});
     agent a(settings, *store);
-    daemon::print_listening("poplar-agent", a.admin_address(),
-                            a.inner_address());
+    daemon::print_listening("poplar-agent", {}, a.inner_address(),
+                            a.admin_address());
     observe::log(observe::event::started,
                  {{"instance", settings.instance.value}});
     while (!stop.wait_for(superseded_check) && !a.is_superseded())
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -145,13 +145,15 @@
 }
 
 void print_listening(const std::string& name, const ip_address& http,
-                     const ip_address& inner)
+                     const ip_address& inner, const ip_address& admin)
 {
     std::cout << "listening " << name;
     if (!http.empty())
         std::cout << " http=" << to_string(http);
     if (!inner.empty())
         std::cout << " inner=" << to_string(inner);
+    if (!admin.empty())
+        std::cout << " admin=" << to_string(admin);
     std::cout << std::endl;
 }
 
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -51,10 +51,10 @@
 /// codes.
 int run(const program& p, int argc, char** argv);
 
-/// Prints the line "listening NAME http=... inner=..."; absent parts when the
-/// address is empty.
+/// Prints the line "listening NAME http=... inner=... admin=..."; parts whose
+/// address is empty are left out.
 void print_listening(const std::string& name, const ip_address& http,
-                     const ip_address& inner);
+                     const ip_address& inner, const ip_address& admin = {});
 
 /// Serves /healthz, /readyz and /metrics, and other paths through a hook.
 class admin_server
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -110,6 +111,8 @@
         throw system_failure("fork", errno);
     if (pid_ == 0)
     {
+        // A test that is killed leaves no processes behind.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(ends[1], STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         execute(path, arguments);
