--- a/entry/demand.cpp
+++ b/entry/demand.cpp
@@ -6,21 +6,21 @@
 {
 
 void demand_counter::accepted(const group_id& group, rank_index rank,
-                              token_count prompt, token_count output)
+                              const offered_work& offered)
 {
     absl::MutexLock lock(&mutex_);
     rank_demand& d = groups_[group][rank];
-    d.prompt += prompt;
-    d.output += output;
+    d.prompt += offered.prompt;
+    d.output += offered.output;
 }
 
 void demand_counter::refused(const group_id& group, rank_index rank,
-                             token_count prompt, token_count output)
+                             const offered_work& offered)
 {
     absl::MutexLock lock(&mutex_);
     rank_demand& d = groups_[group][rank];
-    d.refused_prompt += prompt;
-    d.refused_output += output;
+    d.refused_prompt += offered.prompt;
+    d.refused_output += offered.output;
 }
 
 std::map<group_id, group_demand> demand_counter::take()
--- a/entry/dispatch_policy.hpp
+++ b/entry/dispatch_policy.hpp
@@ -56,6 +56,13 @@
     verdict what = verdict::dispatch;
     duration retry_after{};
     std::string figures; ///< For the decision record and the caller.
+    /// Added to the rank's priority at the engine.
+    int priority_boost = 0;
+    /// Whether a prefill engine computes the prompt; absent: by the group's
+    /// split threshold.
+    std::optional<bool> split;
+    /// Estimated length of the answer; 0: not estimated.
+    token_count expected_output{};
 };
 
 struct engine_choice
--- a/replay/entry_model.cpp
+++ b/replay/entry_model.cpp
@@ -71,6 +71,7 @@
         job.priority = 0;
     job.blocks = a.blocks;
     job.prompt = r.prompt;
+    job.shared = std::min(trace_.kinds[r.kind].shared_prefix, r.prompt);
     job.output = r.output;
     return job;
 }
@@ -163,7 +164,7 @@
     a.blocks.resize(std::min(a.blocks.size(), n));
     while (a.blocks.size() < n)
         a.blocks.push_back(chain = chained(chain, request));
-    a.long_prompt = r.prompt >= split_threshold_.value;
+    a.split = r.prompt >= split_threshold_.value;
     switch (kind_)
     {
     case entry_kind::first_come:
@@ -176,9 +177,9 @@
         break;
     }
     const policy::admission_request q = request_of(id, now);
-    a.long_prompt = q.expected.prompt >= split_threshold_;
     const policy::admission_decision d = admission_.offer(q, now);
     a.guaranteed = d.guaranteed;
+    a.split = d.split;
     if (d.verdict == policy::admission_verdict::refused)
         refuse(id, d.retry_after, d.cause, now);
     if (d.verdict == policy::admission_verdict::dispatch)
@@ -204,6 +205,8 @@
     a.engine = engine;
     a.at_engine = true;
     ++open_[engine];
+    a.computing = prompt;
+    a.has_stream = kind != route_kind::prefill;
     if (kind_ == entry_kind::poplar)
         router_.dispatched(static_cast<policy::engine_index>(engine),
                            route_of(a, kind, prompt), token_count(prompt), now);
@@ -213,8 +216,7 @@
 bool entry_model::send(engine_job job, mono_time now)
 {
     const attempt& a = attempts_[job.attempt];
-    const bool split =
-        a.long_prompt && !a.prompt_computed && prefill_available();
+    const bool split = a.split && prefill_available();
     const route_kind kind = split ? route_kind::prefill : route_kind::whole;
     job.prefill_only = split;
     const std::int64_t prompt =
@@ -253,13 +255,22 @@
     return true;
 }
 
+void entry_model::prompt_ended(attempt& a, mono_time now)
+{
+    if (kind_ == entry_kind::poplar && a.computing > 0)
+        router_.prompt_computed(static_cast<policy::engine_index>(a.engine),
+                                token_count(a.computing), now);
+    a.computing = 0;
+}
+
 void entry_model::left_engine(attempt& a, mono_time now)
 {
     if (!a.at_engine)
         return;
+    prompt_ended(a, now);
     a.at_engine = false;
     --open_[a.engine];
-    if (kind_ == entry_kind::poplar)
+    if (kind_ == entry_kind::poplar && a.has_stream)
         router_.finished(static_cast<policy::engine_index>(a.engine), now);
 }
 
@@ -273,7 +284,6 @@
     case engine_signal::prompt_done:
     {
         left_engine(a, now);
-        a.prompt_computed = true;
         admission_.first_token(request, now);
         const cluster_constants& c = cluster_.constants();
         const duration d =
@@ -284,7 +294,7 @@
         break;
     }
     case engine_signal::first_token:
-        a.prompt_computed = true;
+        prompt_ended(a, now);
         if (a.first_token == mono_time())
             a.first_token = now;
         admission_.first_token(request, now);
@@ -347,8 +357,7 @@
         attempt& a = attempts_[job.attempt];
         left_engine(a, now);
         // The prompt and the output so far are computed again elsewhere.
-        if (job.generated > 0)
-            a.long_prompt = false;
+        a.split = job.prompt >= split_threshold_.value;
         waiting_.push_back(std::move(job));
     }
     for (engine_job& job : std::exchange(waiting_, {}))
@@ -401,6 +410,7 @@
     {
         const std::size_t id = turn->request.id.low - 1;
         attempts_[id].guaranteed = turn->decision.guaranteed;
+        attempts_[id].split = turn->decision.split;
         if (turn->decision.verdict == policy::admission_verdict::dispatch)
             send(job_of(id), now);
         else
