wire, agent: a loop can be stopped while hooks still hold it

The agent's destructor cleared its pointer to the loop while a tick could still use it. Shutdown of a service no longer waits the whole limit for a ledger release that an unreachable platform makes impossible.

--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned spare_connections = 64;
 /// For the last frames to be taken by the kernel.
 constexpr duration flush_limit = std::chrono::seconds(2);
+constexpr duration release_limit = std::chrono::seconds(5);
 /// An outcome report is given up after this time; the new owner then keeps
 /// answering "unknown".
 constexpr duration forward_time = std::chrono::seconds(2);
@@ -26,6 +27,19 @@
                                               spare_connections);
 }
 
+/// True when the condition came to hold within the limit.
+bool wait_for(const std::function<bool()>& condition, duration limit)
+{
+    const mono_time until = now() + limit;
+    while (!condition())
+    {
+        if (now() >= until)
+            return false;
+        std::this_thread::sleep_for(tick_time);
+    }
+    return true;
+}
+
 } // namespace
 
 agent::agent(agent_settings settings, platform::object_store& store)
@@ -65,7 +79,7 @@
 {
     // Each of these has threads whose hooks use the other parts.
     keeper_.reset();
-    loop_.reset();
+    loop_->stop();
     ledger_.reset();
     call_client_.reset();
     control_client_.reset();
@@ -211,6 +225,10 @@
 void agent::received(const wire::connection_ptr& c, const wire::frame& f)
 {
     using wire::message_type;
+    const bool is_stream =
+        f.type == message_type::open_stream || f.type == message_type::attach;
+    if (is_stream && settings_.kind != upstream_kind::engine)
+        return c->close();
     switch (f.type)
     {
     case message_type::open_stream:
@@ -226,7 +244,7 @@
     case message_type::assignment:
         return take_assignment(wire::decode<fb::assignmentT>(f));
     case message_type::outcome_report:
-        if (ledger_)
+        if (has_lock_ && ledger_)
             ledger_->report_outcome(
                 from_wire(wire::decode<fb::outcome_reportT>(f)));
         return;
@@ -367,27 +385,20 @@
     links_.broadcast(wire::encode(goaway));
     if (ledger_)
         ledger_->release();
-    if (!wait_until_ended(now() + settings_.shutdown_limit))
+    if (!wait_for([this] { return has_ended(); }, settings_.shutdown_limit))
         streams_->hand_back();
-    wait_until_ended(now() + flush_limit);
+    wait_for([this] { return has_ended() && links_.queued_bytes() == 0; },
+             flush_limit);
+    // Without the platform shards cannot be released: the next owner takes
+    // them over as from a process that was killed.
+    if (ledger_)
+        wait_for([this] { return ledger_->is_released(); }, release_limit);
 }
 
 bool agent::has_ended() const
 {
     return streams_->unfinished() == 0 && streams_->open_at_engine() == 0 &&
-           calls_->open_calls() == 0 && links_.queued_bytes() == 0 &&
-           (!ledger_ || ledger_->is_released());
-}
-
-bool agent::wait_until_ended(mono_time limit) const
-{
-    while (!has_ended())
-    {
-        if (now() >= limit)
-            return false;
-        std::this_thread::sleep_for(tick_time);
-    }
-    return true;
+           calls_->open_calls() == 0;
 }
 
 } // namespace poplar::agent
--- a/agent/agent.hpp
+++ b/agent/agent.hpp
@@ -79,7 +79,6 @@
     void update_view();
     void update_readiness();
     bool has_ended() const;
-    bool wait_until_ended(mono_time limit) const;
     void answer_admin(const net::http_request& request,
                       const net::responder_ptr& answer) const;
 
--- a/wire/connection.cpp
+++ b/wire/connection.cpp
@@ -138,6 +138,11 @@
     }
 
     ~implementation()
+    {
+        stop();
+    }
+
+    void stop()
     {
         // Hooks of the connections that close now may connect again.
         is_stopping_ = true;
@@ -237,6 +242,11 @@
     return implementation_->connect(to, std::move(hooks));
 }
 
+void loop::stop()
+{
+    implementation_->stop();
+}
+
 void loop::set_hello(fb::helloT hello)
 {
     implementation_->set_hello(std::move(hello));
--- a/wire/connection.hpp
+++ b/wire/connection.hpp
@@ -82,7 +82,7 @@
 {
 public:
     explicit loop(loop_options options);
-    ~loop(); ///< Closes all connections and joins the threads.
+    ~loop(); ///< Calls stop.
     loop(const loop&) = delete;
     loop& operator=(const loop&) = delete;
 
@@ -91,9 +91,14 @@
     ip_address listen(const ip_address& at, connection_hooks hooks);
 
     /// Starts connecting; the result comes through `opened` or `closed`. Once
-    /// the destructor has begun, no hook is called for the new connection.
+    /// `stop` has begun, no hook is called for the new connection.
     connection_ptr connect(const ip_address& to, connection_hooks hooks);
 
+    /// Closes all connections, calls their hooks and joins the threads; tasks
+    /// not yet due are dropped. The other members may still be called, without
+    /// effect, so that hooks need no check. Not to be called from a hook.
+    void stop();
+
     /// Replaces the hello sent on connections made from now on.
     void set_hello(fb::helloT hello);
 
