--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/watcher.hpp"
 #include "standin/platform/objects.hpp"
 #include "tests/platform_process.hpp"
+#include "tests/system/relay.hpp"
 
 #include <atomic>
 #include <gtest/gtest.h>
@@ -275,6 +276,22 @@
     EXPECT_LT(now() - before, seconds(2));
 }
 
+TEST(http_watcher, sees_a_change_in_time_when_its_connection_goes_silent)
+{
+    platform_process p;
+    testing_support::relay relay(p.address());
+    const auto store = make_http_store({relay.address()});
+    std::atomic<bool> seen{false};
+    const watcher w(*store, watcher_options{"sheet/"},
+                    {[&](const object&) { seen = true; }, nullptr});
+    ASSERT_TRUE(
+        wait_for([&] { return p.counters().at("waiting_watches") == 1; }));
+    relay.silence_open_connections();
+    p.store()->put(object_key("sheet/current"), "x", absent);
+    EXPECT_TRUE(wait_for([&] { return seen.load(); }, seconds(4)));
+    store->stop_watches();
+}
+
 TEST(object_table, refuses_watches_older_than_its_history)
 {
     object_table table(2);
