--- a/entry/adaptive_policy.cpp
+++ b/entry/adaptive_policy.cpp
@@ -84,6 +84,7 @@
     a.retry_after = d.retry_after;
     a.figures = figures_of(r, d);
     a.priority_boost = d.guaranteed ? guaranteed_priority : 0;
+    a.split = d.split;
     a.expected_output = r.expected.output;
     return a;
 }
@@ -121,6 +122,20 @@
         std::uint64_t last_event = 0;
     };
 
+    /// The dispatch of a request that is not over.
+    struct open_leg
+    {
+        instance_id engine;    ///< Empty: none.
+        token_count computing; ///< Prompt tokens not yet known as computed.
+        bool has_stream = false;
+    };
+
+    struct open_request
+    {
+        group_id group;
+        open_leg leg;
+    };
+
     struct group_state
     {
         explicit group_state(policy::admission_settings s)
@@ -155,6 +170,12 @@
                   const std::vector<instance_id>& avoid,
                   std::span<const std::uint64_t> blocks) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    token_count prompt_to_compute(const request_view& request, mono_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    bool has_prefill_engine(const group_id& name) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void prompt_computed(open_request& r, mono_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     double weight_of(const tenant_id& tenant) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
@@ -165,7 +186,7 @@
     std::map<group_id, group_state> groups_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<instance_id, engine_state>
         engines_ ABSL_GUARDED_BY(mutex_);
-    absl::flat_hash_map<request_id, group_id> offered_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<request_id, open_request> open_ ABSL_GUARDED_BY(mutex_);
     policy::router router_ ABSL_GUARDED_BY(mutex_);
     policy::output_estimator estimator_ ABSL_GUARDED_BY(mutex_);
     policy::retry_budget retries_ ABSL_GUARDED_BY(mutex_);
@@ -283,6 +304,39 @@
     return it == weights_.end() ? 1.0 : it->second;
 }
 
+bool adaptive_policy::has_prefill_engine(const group_id& name) const
+{
+    return std::ranges::any_of(engines_,
+                               [&](const auto& it)
+                               {
+                                   const engine_view& v = it.second.view;
+                                   return v.group == name && v.is_usable &&
+                                          v.report.role ==
+                                              fb::engine_role::prefill;
+                               });
+}
+
+/// Prompt tokens that no cache saves, on the path that the request will take.
+token_count adaptive_policy::prompt_to_compute(const request_view& request,
+                                               mono_time now)
+{
+    const auto blocks = request_blocks(request);
+    const auto uncached = [&](leg_kind leg)
+    {
+        const auto route = router_.choose(
+            route_request(request, leg, {}, blocks), now, random_);
+        return route ? request.prompt_tokens - route->cached
+                     : request.prompt_tokens;
+    };
+    const sheet::engine_group* g = sheet::find_group(sheet_, request.group);
+    const token_count threshold =
+        g ? g->split_threshold : policy::admission_settings().split_threshold;
+    token_count n = uncached(leg_kind::whole);
+    if (n >= threshold && has_prefill_engine(request.group))
+        n = std::max(threshold, uncached(leg_kind::prefill));
+    return std::max(n, token_count(1));
+}
+
 policy::admission_request
 adaptive_policy::admission_request(const request_view& request, mono_time now)
 {
@@ -291,11 +345,7 @@
     r.tenant = request.tenant;
     r.tenant_weight = weight_of(request.tenant);
     r.rank = request.rank;
-    const auto blocks = request_blocks(request);
-    const auto route = router_.choose(
-        route_request(request, leg_kind::whole, {}, blocks), now, random_);
-    const token_count cached = route ? route->cached : token_count();
-    r.expected.prompt = request.prompt_tokens - cached;
+    r.expected.prompt = prompt_to_compute(request, now);
     r.expected.output = estimator_
                             .expect(request.tenant, request.model, request.rank,
                                     request.max_output)
@@ -318,7 +368,7 @@
     const policy::admission_decision d =
         group(request.group).admission.offer(r, now);
     if (d.verdict != policy::admission_verdict::refused)
-        offered_[request.id] = request.group;
+        open_[request.id] = {request.group, {}};
     return to_answer(r, d);
 }
 
@@ -332,7 +382,7 @@
         {
             const policy::admission_decision& d = turn->decision;
             if (d.verdict == policy::admission_verdict::refused)
-                offered_.erase(turn->request.id);
+                open_.erase(turn->request.id);
             answers.push_back(to_answer(turn->request, d));
         }
     }
@@ -370,38 +420,60 @@
     const policy::engine_info& info = router_.info(route->engine);
     if (!info.available)
         return std::nullopt;
-    const instance_id chosen = info.instance;
-    router_.dispatched(route->engine, r, request.prompt_tokens - route->cached,
-                       now);
+    const bool has_kv = leg == leg_kind::decode;
+    const token_count computing =
+        has_kv ? token_count() : request.prompt_tokens - route->cached;
+    router_.dispatched(route->engine, r, computing, now);
+    if (const auto it = open_.find(request.id); it != open_.end())
+        it->second.leg = {info.instance, computing, leg != leg_kind::prefill};
     return engine_choice{
-        chosen, "cached " + std::to_string(route->cached.value) + " of " +
-                    std::to_string(request.prompt_tokens.value) +
-                    " prompt tokens; expected start in " +
-                    std::to_string(to_milliseconds(route->expected_start)) +
-                    " ms"};
+        info.instance,
+        "cached " + std::to_string(route->cached.value) + " of " +
+            std::to_string(request.prompt_tokens.value) +
+            " prompt tokens; expected start in " +
+            std::to_string(to_milliseconds(route->expected_start)) + " ms"};
+}
+
+void adaptive_policy::prompt_computed(open_request& r, mono_time now)
+{
+    const auto engine = router_.find(r.leg.engine);
+    if (engine && r.leg.computing.value > 0)
+        router_.prompt_computed(*engine, r.leg.computing, now);
+    r.leg.computing = token_count();
 }
 
-void adaptive_policy::leg_ended(const request_id&, const instance_id& instance,
-                                mono_time now)
+void adaptive_policy::leg_ended(const request_id& id,
+                                const instance_id& instance, mono_time now)
 {
     absl::MutexLock lock(&mutex_);
-    if (const auto engine = router_.find(instance))
+    const auto it = open_.find(id);
+    if (it == open_.end() || it->second.leg.engine != instance)
+        return;
+    open_request& r = it->second;
+    prompt_computed(r, now);
+    const auto engine = router_.find(instance);
+    if (engine && r.leg.has_stream)
         router_.finished(*engine, now);
+    if (!r.leg.has_stream)
+        group(r.group).admission.first_token(id, now);
+    r.leg = {};
 }
 
 void adaptive_policy::first_token(const request_id& id, mono_time now)
 {
     absl::MutexLock lock(&mutex_);
-    auto it = offered_.find(id);
-    if (it != offered_.end())
-        group(it->second).admission.first_token(id, now);
+    const auto it = open_.find(id);
+    if (it == open_.end())
+        return;
+    prompt_computed(it->second, now);
+    group(it->second.group).admission.first_token(id, now);
 }
 
 void adaptive_policy::finished(const request_view& request, token_count output,
                                mono_time now)
 {
     absl::MutexLock lock(&mutex_);
-    offered_.erase(request.id);
+    open_.erase(request.id);
     policy::admission& a = group(request.group).admission;
     a.cancel(request.id);
     a.finished(request.id, now);
--- a/entry/control_bridge.cpp
+++ b/entry/control_bridge.cpp
@@ -43,7 +43,6 @@
         policy::rank_demand& r = result[rank.value];
         r.offered.prompt = d.prompt + d.refused_prompt;
         r.offered.output = d.output + d.refused_output;
-        r.long_prompt = d.long_prompt;
     }
     return result;
 }
@@ -53,10 +52,7 @@
 {
     sum.resize(std::max(sum.size(), more.size()));
     for (std::size_t i = 0; i < more.size(); ++i)
-    {
         sum[i].offered += more[i].offered;
-        sum[i].long_prompt += more[i].long_prompt;
-    }
 }
 
 control::manager_options make_options(const instance_id& self,
