entry: tell the policy about instances dropped from the list

An instance that left the list while its connection was down was removed from the table without a call to the policy. The test of slow readers now uses an answer longer than the kernel's buffers and checks that the agent stops.

--- a/entry/agent_links.cpp
+++ b/entry/agent_links.cpp
@@ -16,12 +16,18 @@
 
 void agent_links::apply_list(const std::vector<platform::instance_record>& list)
 {
+    std::set<instance_id> concerned;
+    for (const platform::instance_record& record : list)
+        concerned.insert(record.instance);
     {
         absl::MutexLock lock(&mutex_);
+        // Those that the list no longer has may be dropped from the table.
+        for (const auto& [name, m] : table_.members())
+            concerned.insert(name);
         table_.apply_list(now(), list);
     }
-    for (const platform::instance_record& record : list)
-        hooks_.changed(record.instance);
+    for (const instance_id& instance : concerned)
+        hooks_.changed(instance);
 }
 
 void agent_links::apply_drains(std::set<instance_id> drained)
--- a/tests/entry_fake_agent.hpp
+++ b/tests/entry_fake_agent.hpp
@@ -18,7 +18,8 @@
 
 inline std::string token_text(std::uint32_t index)
 {
-    return "t" + std::to_string(index) + " ";
+    // Long enough that a long answer does not fit the kernel's buffers.
+    return "t" + std::to_string(index) + std::string(40, '.') + " ";
 }
 
 inline std::string whole_answer(std::uint32_t tokens)
