--- a/control/manager.cpp
+++ b/control/manager.cpp
@@ -72,10 +72,7 @@
 {
     sum.resize(std::max(sum.size(), more.size()));
     for (std::size_t i = 0; i < more.size(); ++i)
-    {
         sum[i].offered += more[i].offered;
-        sum[i].long_prompt += more[i].long_prompt;
-    }
 }
 
 token_count to_tokens(std::uint64_t n)
@@ -96,7 +93,6 @@
             to_tokens(r->prompt_tokens + r->refused_prompt_tokens);
         d.offered.output =
             to_tokens(r->output_tokens + r->refused_output_tokens);
-        d.long_prompt = to_tokens(r->long_prompt_tokens);
     }
     return demand;
 }
@@ -117,8 +113,6 @@
             static_cast<std::uint64_t>(demand[i].offered.prompt.value);
         r->output_tokens =
             static_cast<std::uint64_t>(demand[i].offered.output.value);
-        r->long_prompt_tokens =
-            static_cast<std::uint64_t>(demand[i].long_prompt.value);
         report.ranks.push_back(std::move(r));
     }
     return report;
@@ -277,7 +271,7 @@
     observe::log(was_owner ? observe::event::control_lost
                            : observe::event::control_taken,
                  {{"group", group.value}, {"epoch", g.owner.epoch().value}});
-    hooks_.record(group, was_owner ? "ownership lost" : "ownership taken");
+    hooks_.record(group, {}, was_owner ? "ownership lost" : "ownership taken");
     g.planner = policy::role_planner(options_.planner);
     g.planned_at = now();
 }
@@ -305,10 +299,10 @@
     g.owner.propose(plan_assignments(input), sheet.generation);
     g.last_plan = policy::to_string(roles);
     for (const policy::role_change& change : roles.changes)
-        hooks_.record(group.name, change.instance.value + " to " +
-                                      to_string(change.to) + ": " +
-                                      policy::to_string(change.reason) + "; " +
-                                      g.last_plan);
+        hooks_.record(group.name, change.instance,
+                      "role " + to_string(change.to) +
+                          " wanted: " + policy::to_string(change.reason) +
+                          "; " + g.last_plan);
 }
 
 void manager::implementation::mark_changes(group_control& g,
--- a/entry/live_config.cpp
+++ b/entry/live_config.cpp
@@ -1,6 +1,7 @@
 #include "entry/live_config.hpp"
 
 #include "control/assignments.hpp"
+#include "control/wire_types.hpp"
 
 #include <algorithm>
 
@@ -10,22 +11,16 @@
 namespace
 {
 
-// The enumerations of the sheet and of the inner protocol have equal values.
-static_assert(static_cast<int>(sheet::engine_role::mixed) ==
-              static_cast<int>(fb::engine_role::mixed));
-static_assert(static_cast<int>(sheet::upstream_state::withdrawn) ==
-              static_cast<int>(fb::upstream_state::withdrawn));
-
-fb::assignmentT make_part(const control::assignment& a)
+fb::assignmentT to_wire(const control::assignment& a)
 {
     fb::assignmentT part;
     part.instance = a.instance.value;
-    part.role = static_cast<fb::engine_role>(a.role);
+    part.role = control::to_wire(a.role);
     part.model = a.model.value;
     part.model_version = a.version.value;
-    for (const adapter_id& adapter : a.adapters)
-        part.adapters.push_back(adapter.value);
-    part.state = static_cast<fb::upstream_state>(a.state);
+    for (const adapter_id& it : a.adapters)
+        part.adapters.push_back(it.value);
+    part.state = control::to_wire(a.state);
     return part;
 }
 
@@ -33,20 +28,20 @@
 
 group_assignments parse_assignments(const platform::object& o)
 {
-    const control::group_assignments read =
+    const control::group_assignments all =
         control::parse_group_assignments(o.value);
     group_assignments result;
-    result.group =
-        group_id(o.key.value.substr(control::assignments_prefix.size()));
+    result.group = group_id(o.key.value.substr(assignments_prefix.size()));
     result.version = o.version;
-    result.epoch = read.epoch;
-    for (const control::assignment& a : read.assignments)
+    result.epoch = all.epoch;
+    result.owner = all.owner;
+    for (const control::assignment& a : all.assignments)
     {
-        fb::assignmentT part = make_part(a);
+        fb::assignmentT part = to_wire(a);
         part.group = result.group.value;
         part.version = o.version.value;
-        part.epoch = read.epoch.value;
-        part.sheet_generation = read.generation.value;
+        part.epoch = all.epoch.value;
+        part.sheet_generation = all.generation.value;
         result.parts.push_back(std::move(part));
     }
     return result;
--- a/entry/stream_session.cpp
+++ b/entry/stream_session.cpp
@@ -80,6 +80,12 @@
     return limits_.window_bytes - static_cast<std::uint32_t>(used);
 }
 
+void stream_session::admit(int priority_boost, std::optional<bool> split)
+{
+    request_.priority += priority_boost;
+    request_.split = split.value_or(request_.split);
+}
+
 fb::open_streamT stream_session::make_open(mono_time now) const
 {
     fb::open_streamT open;
--- a/entry/stream_session.hpp
+++ b/entry/stream_session.hpp
@@ -133,6 +133,9 @@
     stream_session(generation request, session_limits limits,
                    std::function<std::uint64_t()> next_number);
 
+    /// What admission decided; call it before start. `split` tells whether a
+    /// prefill engine computes the prompt.
+    void admit(int priority_boost, std::optional<bool> split);
     stream_actions start(mono_time now);
     /// Answers choose_upstream.
     stream_actions placed(mono_time now, const placement_result& result);
