Put fixed roles in force where a failure domain has one engine

Cause: streams_test (planned change "roles", 3 engines in 3 failure domains) never saw the sheet's prefill engine: the planner held back every candidate as the last of its role in its failure domain, also for numbers fixed by the sheet. Ruled out: ownership (assignments were written) and the agents (they had nothing to do). Change: fixed numbers fall back to keeping the last engine of the group. The automatic plan keeps the rule.

--- a/policy/role_planner.cpp
+++ b/policy/role_planner.cpp
@@ -232,7 +232,7 @@
 /// best spare it; null with plan.hold when there is none.
 const planned_engine* role_planner::candidate(const planner_input& input,
                                               const census& c, engine_role to,
-                                              mono_time now,
+                                              domain_rule rule, mono_time now,
                                               role_plan& plan) const
 {
     const engine_role from =
@@ -248,7 +248,12 @@
         const domain_count& domain = c.domains.at(e.failure_domain);
         const unsigned same =
             computes_prompts_only(from) ? domain.prefill : domain.streams;
-        if (same <= 1)
+        const unsigned in_group =
+            computes_prompts_only(from) ? c.prefill : c.streams;
+        const bool is_last = rule == domain_rule::keep_last_of_role
+                                 ? same <= 1
+                                 : in_group <= 1;
+        if (is_last)
         {
             if (plan.hold == hold_reason::no_engine)
                 plan.hold = hold_reason::last_of_role;
@@ -289,13 +294,20 @@
             plan.hold = hold_reason::change_limit;
             return;
         }
-        const planned_engine* e = candidate(input, left, to, now, plan);
+        const planned_engine* e = candidate(
+            input, left, to, domain_rule::keep_last_of_role, now, plan);
+        // The sheet's numbers hold even where a failure domain has too few
+        // engines to keep both roles.
+        if (!e && reason == role_reason::fixed_by_sheet)
+            e = candidate(input, left, to, domain_rule::keep_last_of_group,
+                          now, plan);
         if (!e)
             return;
         plan.changes.push_back({e->instance, e->role, to, reason});
         changed_at_[e->instance] = now;
         domain_count& domain = left.domains[e->failure_domain];
         --(computes_prompts_only(e->role) ? domain.prefill : domain.streams);
+        --(computes_prompts_only(e->role) ? left.prefill : left.streams);
         ++left.changing;
     }
 }
--- a/policy/role_planner.hpp
+++ b/policy/role_planner.hpp
@@ -191,9 +191,15 @@
     void change(const planner_input& input, const census& c,
                 sheet::engine_role to, unsigned most, role_reason reason,
                 mono_time now, role_plan& plan);
+    /// Which engine a change may not take.
+    enum class domain_rule
+    {
+        keep_last_of_role, ///< The last of its role in its failure domain.
+        keep_last_of_group ///< Only the last of its role in the group.
+    };
     const planned_engine* candidate(const planner_input& input, const census& c,
-                                    sheet::engine_role to, mono_time now,
-                                    role_plan& plan) const;
+                                    sheet::engine_role to, domain_rule rule,
+                                    mono_time now, role_plan& plan) const;
 
     role_planner_settings settings_;
     std::vector<rank_rates> rates_;
--- a/tests/policy_planner_test.cpp
+++ b/tests/policy_planner_test.cpp
@@ -203,6 +203,19 @@
     EXPECT_EQ(g.changes, 3U);
 }
 
+// A sheet that fixes more prefill engines than the failure domains can give
+// without losing a role must still be put in force.
+TEST(role_planner, follows_a_fixed_sheet_with_one_engine_for_each_domain)
+{
+    planned_group g(0, 3);
+    g.input.group.roles = sheet::role_policy::fixed;
+    g.input.group.prefill_engines = 1;
+    for (int i = 0; i < 100; ++i)
+        g.step();
+    EXPECT_EQ(g.count(engine_role::prefill), 1U);
+    EXPECT_EQ(g.changes, 1U);
+}
+
 TEST(role_planner, waits_before_its_first_change)
 {
     planned_group g(3, 15);
--- a/tests/system/streams_test.cpp
+++ b/tests/system/streams_test.cpp
@@ -190,8 +190,22 @@
     const char* name;
     const char* group; ///< Group keys of the new sheet.
     std::vector<std::string> drained;
+    const char* key; ///< Of the engine's state.
+    const char* value;
+    unsigned engines; ///< That show this value after the change.
 };
 
+unsigned engines_with(cluster& c, const char* key, const char* value)
+{
+    return static_cast<unsigned>(std::ranges::count_if(
+        c.engines,
+        [&](const upstream_slot& slot)
+        {
+            const json state = c.get_json(slot.upstream->http(), "/v1/state");
+            return state.at(key) == value && state.at("changing") == false;
+        }));
+}
+
 class planned_changes : public testing::TestWithParam<planned_case>
 {
 };
@@ -209,6 +223,15 @@
     const command_result applied =
         c.apply(c.sheet_text(GetParam().drained, GetParam().group));
     ASSERT_EQ(applied.exit_code, 0) << applied.output;
+    // New streams keep coming until the change has reached the engines.
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            open.open(1);
+            std::this_thread::sleep_for(100ms);
+            return engines_with(c, GetParam().key, GetParam().value) ==
+                   GetParam().engines;
+        }));
     open.expect_whole();
     for (const upstream_slot& slot : c.engines)
     {
@@ -220,15 +243,21 @@
 
 INSTANTIATE_TEST_SUITE_P(
     table, planned_changes,
-    testing::Values(planned_case{"drain", "", {"engine-0"}},
+    testing::Values(planned_case{"drain", "", {"engine-0"}, "version", "1", 3},
                     planned_case{"version",
                                  "version = \"2\"\nroles = \"all_mixed\"\n"
                                  "max_changing = 1\n",
-                                 {}},
+                                 {},
+                                 "version",
+                                 "2",
+                                 3},
                     planned_case{"roles",
                                  "version = \"1\"\nroles = \"fixed\"\n"
                                  "prefill_engines = 1\n",
-                                 {}}),
+                                 {},
+                                 "role",
+                                 "prefill",
+                                 1}),
     [](const testing::TestParamInfo<planned_case>& info)
     { return std::string(info.param.name); });
 
