--- a/tests/sheet_test.cpp
+++ b/tests/sheet_test.cpp
@@ -1,5 +1,6 @@
 // Guards against sheets with faults that are accepted, once calls that pass as
 // repeatable, and exports that are lost, overwritten or reported wrongly.
+#include "base/digest.hpp"
 #include "platform/memory_store.hpp"
 #include "sheet/diff.hpp"
 #include "sheet/publish.hpp"
@@ -180,6 +181,31 @@
         once_case{"POST", "/menu/orders", false}, once_case{"POST", "/", false},
         once_case{"POST", "/orders%zz", false}));
 
+/// Writes a path in one of the ways that a service may read as the same.
+std::string respell(const std::string& path)
+{
+    std::string result;
+    for (const char c : path)
+    {
+        const int way = *rc::gen::inRange(0, 4);
+        const std::string escaped =
+            "%" + hex(static_cast<unsigned char>(c)).substr(14);
+        if (c == '/')
+            result += std::array{"/", "//", "/./", "/x/../"}.at(way);
+        else
+            result += way == 0 ? escaped : std::string(1, c);
+    }
+    return result + *rc::gen::element<std::string>("", "/", "//", "?a=/b");
+}
+
+RC_GTEST_PROP(once_call_property, respelling_hides_no_call, ())
+{
+    const service s = parse_sheet(sample_sheet, "s").services.at(0);
+    RC_ASSERT(is_once(s, "POST", respell("/orders")));
+    RC_ASSERT(is_once(s, "PUT", respell("/orders/print/7")));
+    RC_ASSERT(!is_once(s, "PUT", respell("/menu/orders/print")));
+}
+
 TEST(sheet_record_json, keeps_every_field)
 {
     const sheet_record r{sheet_generation(7),
