--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -65,7 +65,7 @@
     /// Adds --platform and, where it is needed, --operator.
     command_result call(arguments all, const std::string& operator_name = "")
     {
-        all.insert(all.end(), {"--platform", to_string(stand_in.address())});
+        all.insert(all.end(), {"--platform", to_string(stand_in_.address())});
         if (!operator_name.empty())
             all.insert(all.end(), {"--operator", operator_name});
         return run(all);
@@ -73,20 +73,20 @@
 
     std::string file(const std::string& name, const std::string& text)
     {
-        return write(stand_in.folder(), name, text);
+        return write(stand_in_.folder(), name, text);
     }
 
     sheet::sheet_record current()
     {
-        return sheet::read_current(*stand_in.store()).record.value();
+        return sheet::read_current(*stand_in_.store()).record.value();
     }
 
     void put(const std::string& key, const std::string& value)
     {
-        stand_in.store()->put(object_key(key), value, object_version());
+        stand_in_.store()->put(object_key(key), value, object_version());
     }
 
-    platform_process stand_in;
+    platform_process stand_in_;
 };
 
 struct usage_case
@@ -185,13 +185,13 @@
 TEST_F(poplarctl, lost_answer_is_resolved_by_reading_back)
 {
     const std::string a = file("a.toml", with_version("4"));
-    stand_in.set_faults(R"({"lose_answers":1})");
+    stand_in_.set_faults(R"({"lose_answers":1})");
     EXPECT_EQ(call({"apply", a, "-e", "id1"}, "ana").exit_code, success);
     EXPECT_EQ(call({"apply", a, "-e", "id1"}, "ana").exit_code, success);
     EXPECT_EQ(current().generation, sheet_generation(1));
     EXPECT_EQ(call({"status", "--export", "id1"}).exit_code, success);
     EXPECT_EQ(call({"status", "--export", "id2"}).exit_code, not_found);
-    stand_in.set_faults(R"({"outage":true})");
+    stand_in_.set_faults(R"({"outage":true})");
     EXPECT_EQ(call({"apply", a}, "ana").exit_code, unreachable);
     EXPECT_EQ(call({"status", "--export", "id1"}).exit_code, unreachable);
 }
@@ -226,7 +226,7 @@
     const std::string a = file("a.toml", with_version("3"));
     EXPECT_EQ(call({"drain", "w"}, "ana").exit_code, not_found);
     call({"apply", a}, "ana");
-    stand_in.call("PUT", "/admin/instances/w7", R"({"kind":"engine"})");
+    stand_in_.call("PUT", "/admin/instances/w7", R"({"kind":"engine"})");
     const command_result drained = call({"drain", "w7", "w8"}, "bo");
     EXPECT_EQ(drained.exit_code, success);
     EXPECT_TRUE(contains(drained.output, "list has no \"w8\""));
@@ -276,8 +276,8 @@
     put("assignments/broken", "{}");
     put("lease/writers", R"({"owner":"entry-2","address":"127.0.0.1:7000",)"
                          R"("epoch":4,"renewals":17})");
-    stand_in.call("PUT", "/admin/instances/writer-1",
-                  R"({"kind":"engine","group":"writers"})");
+    stand_in_.call("PUT", "/admin/instances/writer-1",
+                   R"({"kind":"engine","group":"writers"})");
     const command_result text = call({"status"});
     EXPECT_EQ(text.exit_code, success);
     EXPECT_TRUE(contains(text.output, "warning: assignments/broken"));
