Pass "not started" of the ledger on to entries

Cause: the agent reported calls that the ledger had not started as unknown. Entries then gave a final 504 instead of following the owner or refusing with the time at which to retry. Conclusion: the test of calls without the platform now expects exactly this state.

--- a/agent/call_runner.cpp
+++ b/agent/call_runner.cpp
@@ -146,9 +146,10 @@
         return fb::call_state::done;
     case ledger::answer_state::in_progress:
         return fb::call_state::in_progress;
-    // An earlier call with the key may have run, so "not run" would be a claim
-    // that nobody here can make.
+    // The entry follows the owner or gives the time at which to retry; as
+    // "unknown" it would be a final answer.
     case ledger::answer_state::not_started:
+        return fb::call_state::not_started;
     case ledger::answer_state::unknown:
         return fb::call_state::unknown;
     }
--- a/entry/call_session.cpp
+++ b/entry/call_session.cpp
@@ -184,7 +184,9 @@
         return fail(failure_kind::key_reused,
                     "the key was used with another body", {}, out);
     case fb::refusal::ledger_unavailable:
-        return fail(failure_kind::ledger_unavailable, r.message, wait, out);
+        return fail(failure_kind::ledger_unavailable,
+                    "the ledger cannot be reached; ask again with the same key",
+                    wait, out);
     case fb::refusal::invalid_request:
         return fail(failure_kind::refused_by_upstream, r.message, {}, out);
     case fb::refusal::deadline_too_short:
--- a/tests/agent_calls_test.cpp
+++ b/tests/agent_calls_test.cpp
@@ -126,7 +126,7 @@
     outage.outage = true;
     store.set_faults(outage);
     const auto r = run(make_call(1, "k"));
-    EXPECT_NE(r.state, fb::call_state::done);
+    EXPECT_EQ(r.state, fb::call_state::not_started);
     EXPECT_EQ(r.refusal, fb::refusal::ledger_unavailable);
     EXPECT_EQ(service->runs, 0);
 }
