--- a/entry/settings.hpp
+++ b/entry/settings.hpp
@@ -38,7 +38,9 @@
     /// Wait for an engine that can resume an open stream.
     duration resume_patience = std::chrono::seconds(5);
     duration instance_poll = std::chrono::seconds(1);
-    duration watch = std::chrono::seconds(30);
+    /// A change on a watch connection that went silent is seen after this time
+    /// and the margin of one second, within the 4 s of an accepted sheet.
+    duration watch = std::chrono::milliseconds(1500);
     duration lowest_reconnect = std::chrono::milliseconds(50);
     duration highest_reconnect = std::chrono::seconds(2);
     /// Between not ready and the end of listening, so that the load balancer
