Name a once-only call by tenant and key alone

Cause: the path as sent was part of the key in the ledger, so the same idempotency key under two spellings of one path (a trailing slash, an escape) would have run twice. Ruled out: normalising the path; it would have to match what each service does with it. Change: method and path count as content; another spelling with the same key is refused with 422. Measurement: another_spelling_of_the_path_does_not_run_it_again is new; four spellings run once.

--- a/agent/call_runner.cpp
+++ b/agent/call_runner.cpp
@@ -68,11 +68,6 @@
     return {text.begin(), text.end()};
 }
 
-std::string path_of(const std::string& target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 fb::call_resultT done_result(const net::http_response& response)
 {
     fb::call_resultT r;
@@ -186,7 +181,7 @@
                            std::function<void(ledger::run_result)> done)
 {
     net::client_request r;
-    r.method = call.key.method;
+    r.method = call.method;
     r.to = service_;
     r.path = call.target;
     r.headers = call.headers;
@@ -228,8 +223,9 @@
 ledger::call to_ledger_call(const fb::callT& call, const service_id& service)
 {
     ledger::call c;
-    c.key = {service, tenant_id(call.tenant), call.method, path_of(call.path),
+    c.key = {service, tenant_id(call.tenant),
              idempotency_key(call.idempotency_key)};
+    c.method = call.method;
     c.target = call.path;
     c.headers = from_wire(call.headers);
     c.body = text_of(call.body);
@@ -260,8 +256,6 @@
     r.service = record.call.service.value;
     r.shard = ledger::shard_of(record.call);
     r.tenant = record.call.tenant.value;
-    r.method = record.call.method;
-    r.path = record.call.path;
     r.idempotency_key = record.call.key.value;
     r.body_digest = record.body_digest;
     r.status = record.answer.status;
@@ -275,7 +269,6 @@
 {
     ledger::call_record r;
     r.call = {service_id(report.service), tenant_id(report.tenant),
-              report.method, report.path,
               idempotency_key(report.idempotency_key)};
     r.body_digest = report.body_digest;
     r.recorded_at = unix_seconds();
--- a/entry/front.cpp
+++ b/entry/front.cpp
@@ -278,7 +278,7 @@
     if (c.is_once && c.key.empty())
         refuse_with(failure_kind::key_missing,
                     "this call needs an Idempotency-Key");
-    c.shard = ledger::shard_of({c.service, c.tenant, c.method, path, c.key});
+    c.shard = ledger::shard_of({c.service, c.tenant, c.key});
     c.headers = forwarded_headers(in.http.headers);
     c.body = std::move(in.http.body);
     c.deadline = deadline_of(in, s->timeout);
--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -153,7 +153,7 @@
         submission s;
         s.waiter = waiter_number(++waiter_count_);
         s.call = c.key;
-        s.body_digest = digest(c.body, digest(c.target));
+        s.body_digest = digest(c.body, digest(c.method + ' ' + c.target));
         s.take_over = c.take_over;
         s.deadline = now() + c.time_left;
         open_calls_.emplace(s.waiter.value,
--- a/ledger/ledger.hpp
+++ b/ledger/ledger.hpp
@@ -13,10 +13,11 @@
 namespace poplar::ledger
 {
 
-/// A call as it arrived; `method`, `path` and key stand in `key`.
+/// A call as it arrived.
 struct call
 {
     call_key key;
+    std::string method;
     std::string target; ///< Path with query, as sent to the upstream.
     std::vector<net::header> headers;
     std::string body;
--- a/ledger/record.cpp
+++ b/ledger/record.cpp
@@ -54,8 +54,6 @@
 json call_to_json(const call_record& c)
 {
     json j{{"tenant", to_base64(c.call.tenant.value)},
-           {"method", c.call.method},
-           {"path", to_base64(c.call.path)},
            {"key", to_base64(c.call.key.value)},
            {"digest", c.body_digest},
            {"at", c.recorded_at}};
@@ -69,8 +67,6 @@
     call_record c;
     c.call.service = service;
     c.call.tenant = tenant_id(from_base64(j.at("tenant").get<std::string>()));
-    c.call.method = j.at("method").get<std::string>();
-    c.call.path = from_base64(j.at("path").get<std::string>());
     c.call.key = idempotency_key(from_base64(j.at("key").get<std::string>()));
     c.body_digest = j.at("digest").get<std::uint64_t>();
     c.recorded_at = j.at("at").get<std::int64_t>();
@@ -162,8 +158,8 @@
 
 std::size_t json_size(const call_record& call)
 {
-    std::size_t n = json_overhead_bytes + call.call.path.size() +
-                    call.call.key.value.size() + call.call.tenant.value.size();
+    std::size_t n = json_overhead_bytes + call.call.key.value.size() +
+                    call.call.tenant.value.size();
     for (const net::header& h : call.answer.headers)
         n += h.name.size() + h.value.size();
     return n + call.answer.body.size() * 4 / 3;
--- a/ledger/shards.hpp
+++ b/ledger/shards.hpp
@@ -14,13 +14,13 @@
 /// shard for as long as its record is kept.
 constexpr unsigned shard_count = 64;
 
-/// A call that runs at most once.
+/// Names a call that runs at most once. Method and path are no part of it: one
+/// path has many spellings, and under each the call would run again. They count
+/// as content, like the body.
 struct call_key
 {
     service_id service;
     tenant_id tenant;
-    std::string method;
-    std::string path; ///< Without query.
     idempotency_key key;
 
     auto operator<=>(const call_key&) const = default;
@@ -29,8 +29,7 @@
 /// Shard of a call: the same in every process.
 inline unsigned shard_of(const call_key& call)
 {
-    const std::string text = call.tenant.value + '\n' + call.method + '\n' +
-                             call.path + '\n' + call.key.value;
+    const std::string text = call.tenant.value + '\n' + call.key.value;
     return static_cast<unsigned>(digest(text) % shard_count);
 }
 
--- a/tests/agent_calls_test.cpp
+++ b/tests/agent_calls_test.cpp
@@ -65,8 +65,8 @@
         c.body = {'h', 'i'};
         c.repeatable = key.empty();
         c.idempotency_key = key;
-        c.shard = ledger::shard_of({service_id("booking"), tenant_id("t"),
-                                    "POST", "/orders", idempotency_key(key)});
+        c.shard = ledger::shard_of(
+            {service_id("booking"), tenant_id("t"), idempotency_key(key)});
         c.deadline_us = 3000000;
         return c;
     }
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -23,7 +23,7 @@
 
 call_key key_of(unsigned n)
 {
-    return {desk, tenant_id("fienili"), "POST", "/bookings",
+    return {desk, tenant_id("fienili"),
             idempotency_key("k" + std::to_string(n))};
 }
 
@@ -364,7 +364,7 @@
 call_answer submit_and_wait(service_ledger& ledger, const call_key& key,
                             const std::string& body, bool take_over = false)
 {
-    call c{key, key.path, {}, body, take_over, 5s};
+    call c{key, "POST", "/bookings", {}, body, take_over, 5s};
     call_answer result;
     absl::Notification done;
     ledger.submit(c,
@@ -437,7 +437,7 @@
     service_ledger first(
         store,
         options_for("desk-1", [&](const call&, const auto&) { ++runs; }));
-    first.submit({key_of(1), "/bookings", {}, "body", false, 5s},
+    first.submit({key_of(1), "POST", "/bookings", {}, "body", false, 5s},
                  [](const call_answer&) {});
     while (runs == 0)
         std::this_thread::sleep_for(1ms);
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -272,6 +272,24 @@
         422U);
 }
 
+TEST(once, another_spelling_of_the_path_does_not_run_it_again)
+{
+    cluster c({.entries = 1, .engines = 0, .services = 2});
+    ASSERT_TRUE(c.wait_until_usable());
+    EXPECT_EQ(
+        call_service(c, c.entries[0], "POST", "/bookings", "k1", "barn").status,
+        200U);
+    for (const char* path : {"/bookings/", "//bookings", "/b%6Fokings"})
+        EXPECT_EQ(
+            call_service(c, c.entries[0], "POST", path, "k1", "barn").status,
+            422U)
+            << path;
+    unsigned runs = 0;
+    for (const upstream_slot& slot : c.services)
+        runs += c.counters(slot).at("executions").value("k1", 0U);
+    EXPECT_EQ(runs, 1U);
+}
+
 TEST(once, a_call_without_a_key_is_refused_and_not_run)
 {
     cluster c({.entries = 1, .engines = 0, .services = 1});
