--- a/load/main.cpp
+++ b/load/main.cpp
@@ -104,10 +104,10 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-bool all_right(const std::vector<poplar::load::class_report>& reports)
+bool all_right(const poplar::load::run_report& report)
 {
     using poplar::load::outcome;
-    return std::ranges::none_of(reports,
+    return std::ranges::none_of(report.classes,
                                 [](const auto& c)
                                 {
                                     return c.outcomes.contains(outcome::cut) ||
@@ -122,12 +122,12 @@
     raise_descriptor_limit();
     const workload w = read_workload(line);
     poplar::load::runner r(w);
-    auto reports = r.run();
-    const std::string json = to_json(reports, w.length).dump(2) + "\n";
-    std::cout << (line.json == "-" ? json : to_text(reports, w.length));
+    auto report = r.run();
+    const std::string json = to_json(report).dump(2) + "\n";
+    std::cout << (line.json == "-" ? json : to_text(report));
     if (!line.json.empty() && line.json != "-")
         std::ofstream(line.json) << json;
-    return line.strict && !all_right(reports) ? wrong_answers : success;
+    return line.strict && !all_right(report) ? wrong_answers : success;
 }
 
 } // namespace
--- a/load/report.cpp
+++ b/load/report.cpp
@@ -21,9 +21,9 @@
     return static_cast<double>(d.count()) / 1000;
 }
 
-double per_second(std::uint64_t n, duration length)
+double per_second(std::uint64_t n, duration elapsed)
 {
-    return static_cast<double>(n) * 1e6 / static_cast<double>(length.count());
+    return static_cast<double>(n) * 1e6 / static_cast<double>(elapsed.count());
 }
 
 json percentiles(std::vector<duration>& samples)
@@ -39,7 +39,7 @@
     return it == c.outcomes.end() ? 0 : it->second;
 }
 
-json class_json(class_report& c, duration length)
+json class_json(class_report& c, duration elapsed)
 {
     json j{{"name", c.name},
            {"sent", c.sent},
@@ -47,9 +47,9 @@
            {"failures", c.failures},
            {"not_completed_ran", c.ran},
            {"tokens", c.tokens},
-           {"tokens_per_s", per_second(c.tokens, length)},
+           {"tokens_per_s", per_second(c.tokens, elapsed)},
            {"goodput_tokens", c.good_tokens},
-           {"goodput_tokens_per_s", per_second(c.good_tokens, length)},
+           {"goodput_tokens_per_s", per_second(c.good_tokens, elapsed)},
            {"met_targets", c.met_targets},
            {"first_token_ms", percentiles(c.first_tokens)},
            {"token_interval_ms", percentiles(c.intervals)}};
@@ -79,7 +79,7 @@
     out << "\n";
 }
 
-void print_class(std::ostream& out, class_report& c, duration length)
+void print_class(std::ostream& out, class_report& c, duration elapsed)
 {
     out << c.name << ": sent " << c.sent;
     for (const outcome o : {outcome::completed, outcome::refused, outcome::cut,
@@ -92,8 +92,8 @@
     print_percentiles(out, "first token", c.first_tokens);
     if (!c.intervals.empty())
         print_percentiles(out, "token interval", c.intervals);
-    out << "  goodput " << per_second(c.good_tokens, length) << " tokens/s of "
-        << per_second(c.tokens, length) << ", " << c.met_targets
+    out << "  goodput " << per_second(c.good_tokens, elapsed) << " tokens/s of "
+        << per_second(c.tokens, elapsed) << ", " << c.met_targets
         << " requests met their targets\n";
 }
 
@@ -159,21 +159,22 @@
     ++met_targets;
 }
 
-std::string to_text(std::vector<class_report>& classes, duration length)
+std::string to_text(run_report& report)
 {
     std::ostringstream out;
     out << std::fixed << std::setprecision(1);
-    for (class_report& c : classes)
-        print_class(out, c, length);
+    for (class_report& c : report.classes)
+        print_class(out, c, report.elapsed);
     return out.str();
 }
 
-json to_json(std::vector<class_report>& classes, duration length)
+json to_json(run_report& report)
 {
     json all = json::array();
-    for (class_report& c : classes)
-        all.push_back(class_json(c, length));
-    return {{"duration_s", milliseconds_of(length) / 1000},
+    for (class_report& c : report.classes)
+        all.push_back(class_json(c, report.elapsed));
+    return {{"duration_s", milliseconds_of(report.length) / 1000},
+            {"elapsed_s", milliseconds_of(report.elapsed) / 1000},
             {"classes", std::move(all)}};
 }
 
--- a/load/report.hpp
+++ b/load/report.hpp
@@ -56,7 +56,16 @@
 /// Value below which `share` of the samples lie; sorts them partly.
 duration percentile(std::vector<duration>& samples, double share);
 
-std::string to_text(std::vector<class_report>& classes, duration length);
-nlohmann::json to_json(std::vector<class_report>& classes, duration length);
+/// Result of a run.
+struct run_report
+{
+    duration length{};  ///< Of the workload.
+    duration elapsed{}; ///< Until the last answer; rates are relative to it.
+    std::vector<class_report> classes;
+};
+
+/// Both sort the samples partly.
+std::string to_text(run_report& report);
+nlohmann::json to_json(run_report& report);
 
 } // namespace poplar::load
--- a/load/runner.cpp
+++ b/load/runner.cpp
@@ -314,15 +314,16 @@
         a();
 }
 
-std::vector<class_report> runner::run()
+run_report runner::run()
 {
     start_ = now();
     start_classes();
     run_until_drained();
+    const duration elapsed = now() - start_;
     // Cancels what is still open, which is then counted as failed or cut.
     clients_.clear();
     absl::MutexLock lock(&mutex_);
-    return reports_;
+    return {workload_.length, elapsed, reports_};
 }
 
 } // namespace poplar::load
--- a/load/runner.hpp
+++ b/load/runner.hpp
@@ -52,8 +52,8 @@
     runner(const runner&) = delete;
     runner& operator=(const runner&) = delete;
 
-    /// Runs to the end and returns the reports; call it once.
-    std::vector<class_report> run();
+    /// Runs to the end; call it once.
+    run_report run();
 
 private:
     using action = std::function<void()>;
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -112,7 +112,7 @@
         "output_median = 8\noutput_spread = 0.3\nmax_tokens = 100\nstream = " +
         std::string(GetParam().stream ? "true" : "false");
     runner r(make_workload(text, entry.address()));
-    const auto reports = r.run();
+    const auto reports = r.run().classes;
     const class_report& c = reports.at(0);
     EXPECT_GT(c.sent, 2U);
     EXPECT_EQ(c.outcomes, (std::map<outcome, std::uint64_t>{
@@ -156,7 +156,7 @@
         "shared_prefix = 32\nprompt_median = 40\n"
         "[[class]]\nname = 'open'\nopen = 5\nprompt_spread = 0.5\n";
     runner r(make_workload(text, engine.address()));
-    auto reports = r.run();
+    auto reports = r.run().classes;
     for (const class_report& c : reports)
     {
         EXPECT_GT(c.sent, 10U) << c.name;
@@ -185,7 +185,7 @@
         "duration = '1s'\n[[class]]\nname = 'pay'\nkind = 'call'\nrate = 20\n"
         "service = 'booking'\nkeyed = true\nrepeat_rate = 1.0\nretries = 5";
     runner r(make_workload(text, server.address()));
-    const auto reports = r.run();
+    const auto reports = r.run().classes;
     const class_report& c = reports.at(0);
     EXPECT_EQ(c.outcomes.at(outcome::completed), c.sent);
     EXPECT_EQ(c.outcomes.size(), 1U);
@@ -209,7 +209,7 @@
     runner r(make_workload("duration = '100ms'\ndrain = '200ms'\n"
                            "[[class]]\nname = 'a'\nopen = 4",
                            entry.address()));
-    const auto reports = r.run();
+    const auto reports = r.run().classes;
     EXPECT_EQ(reports.at(0).sent, 4U);
     EXPECT_EQ(total(reports.at(0)), 4U);
     EXPECT_EQ(reports.at(0).failures.at("canceled"), 4U);
