agent: a failed cache import is no reason to try the next decode engine

The engine answers 409 both for a wrong role and for a KV cache that it cannot import. Refusing the second sent the entry to other decode engines, which cannot import it either; it now ends as invalid and the entry starts again with the prompt.

--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -158,11 +158,9 @@
         is_superseded_ = true;
         orders_->stop();
     };
-    h.assigned = [this](const std::optional<assignment>& a)
+    h.assigned = [this](const std::optional<assignment>& part)
     {
-        if (a)
-            orders_->take_assignment(*a);
-        orders_->platform_was_read();
+        orders_->platform_was_read(part);
     };
     return h;
 }
--- a/agent/order_machine.cpp
+++ b/agent/order_machine.cpp
@@ -91,9 +91,11 @@
         note(order_note_kind::awaiting_platform_read);
 }
 
-void order_machine::platform_was_read()
+void order_machine::platform_was_read(const std::optional<assignment>& part)
 {
     was_read_ = true;
+    if (part)
+        take_assignment(*part);
 }
 
 void order_machine::set_authority(std::optional<agent_incarnation> held)
--- a/agent/order_machine.hpp
+++ b/agent/order_machine.hpp
@@ -104,9 +104,9 @@
     /// From an entry or the platform. Versions not above the highest seen are
     /// ignored.
     void take_assignment(const assignment& a);
-    /// assignments/<group> was read from the platform; nothing is executed
-    /// before.
-    void platform_was_read();
+    /// assignments/<group> was read from the platform, with this instance's
+    /// part if there is one; nothing is executed before.
+    void platform_was_read(const std::optional<assignment>& part);
     /// Incarnation of the slot held, or nothing when it is not certain that
     /// this process holds it.
     void set_authority(std::optional<agent_incarnation> held);
--- a/agent/order_runner.cpp
+++ b/agent/order_runner.cpp
@@ -50,10 +50,10 @@
     step(now());
 }
 
-void order_runner::platform_was_read()
+void order_runner::platform_was_read(const std::optional<assignment>& part)
 {
     absl::MutexLock lock(&mutex_);
-    machine_.platform_was_read();
+    machine_.platform_was_read(part);
     step(now());
 }
 
--- a/agent/order_runner.hpp
+++ b/agent/order_runner.hpp
@@ -40,7 +40,7 @@
                  stream_table& streams, agent_metrics& metrics);
 
     void take_assignment(const assignment& a);
-    void platform_was_read();
+    void platform_was_read(const std::optional<assignment>& part);
     void set_authority(std::optional<agent_incarnation> held);
     void stop();
     std::uint64_t begin_read();
--- a/agent/stream.cpp
+++ b/agent/stream.cpp
@@ -56,7 +56,9 @@
         "engine: " + std::to_string(status) + " " + s.other_text;
     if (status == status_too_many || status == status_unavailable)
         return refused_end(fb::refusal::overloaded, message);
-    if (status == status_conflict)
+    // Another decode engine could not import the cache either: the entry has to
+    // start again with the prompt.
+    if (status == status_conflict && !s.imports_kv)
         return refused_end(fb::refusal::not_ready, message);
     if (status >= status_server_error)
         return lost_end(s, message);
@@ -106,8 +108,9 @@
     : key{{open.request->high(), open.request->low()},
           attempt_number(open.attempt)},
       engine_id(engine_request_id(key.request, key.attempt)), rank(open.rank),
-      prefill_only(open.prefill_only), number(open.stream),
-      output(open.resume_tokens, open.window_bytes), opened(t), last_progress(t)
+      prefill_only(open.prefill_only), imports_kv(open.kv != nullptr),
+      number(open.stream), output(open.resume_tokens, open.window_bytes),
+      opened(t), last_progress(t)
 {
     // A time beyond a day is as good as none, and cannot overflow.
     constexpr std::uint64_t longest =
--- a/agent/stream.hpp
+++ b/agent/stream.hpp
@@ -38,6 +38,7 @@
     std::string engine_id; ///< Request id at the engine.
     std::uint32_t rank = 0;
     bool prefill_only = false;
+    bool imports_kv = false; ///< The KV cache comes from a prefill engine.
 
     wire::connection_ptr connection; ///< Null while the entry is away.
     std::uint64_t number = 0;        ///< Of the stream on the connection.
--- a/tests/order_machine_test.cpp
+++ b/tests/order_machine_test.cpp
@@ -184,10 +184,12 @@
     {
         if (outage_)
             return machine_.set_authority({});
-        if (!was_read_ && !history.empty())
-            machine_.take_assignment(history.back());
+        std::optional<assignment> newest;
+        if (!history.empty())
+            newest = history.back();
+        if (!was_read_)
+            machine_.platform_was_read(newest);
         was_read_ = true;
-        machine_.platform_was_read();
         machine_.set_authority(agent_incarnation(incarnation_));
     }
 
@@ -323,7 +325,7 @@
     for (int i = 0; i < 10; ++i)
         EXPECT_FALSE(m.step(mono_time(seconds(i)), 0).order);
     EXPECT_EQ(m.gate(), work_gate::open);
-    m.platform_was_read();
+    m.platform_was_read({});
     EXPECT_FALSE(m.step(mono_time(seconds(10)), 0).order);
     EXPECT_EQ(m.gate(), work_gate::not_ready);
     const auto order = m.step(mono_time(seconds(11)), 0).order;
@@ -334,7 +336,7 @@
 TEST(order_machine, keeps_its_sequence_when_authority_returns)
 {
     order_machine m({});
-    m.platform_was_read();
+    m.platform_was_read({});
     m.set_authority(agent_incarnation(1));
     m.take_assignment(make_assignment(1, 1));
     m.take_state(m.begin_read(), {make_setup(0), false});
@@ -354,7 +356,7 @@
 TEST(order_machine, hands_streams_back_only_after_the_drain_time)
 {
     order_machine m({true, seconds(5)});
-    m.platform_was_read();
+    m.platform_was_read({});
     m.set_authority(agent_incarnation(1));
     m.take_assignment(make_assignment(1, 1));
     m.take_state(m.begin_read(), {make_setup(0), false});
