agent: record only assignments that concern this engine

The version of assignments/<group> rises with every change in the group; each would have pushed a decision out of the last 64. The interval of the slot read becomes a setting.

--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -70,7 +70,9 @@
     if (settings_.kind == upstream_kind::service)
         ledger_ = make_ledger();
     keeper_ = std::make_unique<platform_keeper>(
-        store_, keeper_options{settings_.instance, settings_.group, address_},
+        store_,
+        keeper_options{settings_.instance, settings_.group, address_,
+                       settings_.slot_check_interval},
         make_keeper_hooks());
     tick();
 }
--- a/agent/order_machine.cpp
+++ b/agent/order_machine.cpp
@@ -82,8 +82,13 @@
     if (a.version < assigned_.version)
         return note(order_note_kind::ignored_old_version,
                     "version " + std::to_string(a.version.value));
-    assigned_ = a;
+    // The version rises with every change in the group; most leave this part
+    // as it is and are no decision.
+    const assignment before = std::exchange(assigned_, a);
     std::ranges::sort(assigned_.setup.adapters);
+    if (before.version.value > 0 && before.setup == assigned_.setup &&
+        before.state == assigned_.state)
+        return;
     refused_in_row_ = 0;
     note(order_note_kind::assigned,
          describe(a.setup) + " " + sheet::to_string(a.state));
--- a/agent/settings.cpp
+++ b/agent/settings.cpp
@@ -100,6 +100,9 @@
     s.slot_lock_port =
         static_cast<std::uint16_t>(all.integer("slot_lock_port", 0, 0, 65535));
     s.checks_fencing = all.flag("checks_fencing", false);
+    s.slot_check_interval =
+        all.time("slot_check_interval", s.slot_check_interval,
+                 milliseconds(100), minutes(1));
     s.streams = parse_streams(all.table("streams"));
     settings::reader orders = all.table("orders");
     s.orders = parse_orders(orders, s.kind);
--- a/agent/settings.hpp
+++ b/agent/settings.hpp
@@ -59,6 +59,7 @@
     ip_address platform;
     std::uint16_t slot_lock_port = 0; ///< 0: no lock.
     bool checks_fencing = false;
+    duration slot_check_interval = std::chrono::seconds(2);
     stream_options streams;
     order_options orders;
     poll_options polls;
--- a/tests/order_machine_test.cpp
+++ b/tests/order_machine_test.cpp
@@ -353,6 +353,18 @@
     EXPECT_GT(second->fencing, first->fencing);
 }
 
+TEST(order_machine, records_no_decision_when_only_the_version_rises)
+{
+    order_machine m({});
+    m.take_assignment(make_assignment(1, 1));
+    EXPECT_FALSE(m.take_notes().empty());
+    m.take_assignment(make_assignment(2, 1));
+    EXPECT_TRUE(m.take_notes().empty());
+    EXPECT_EQ(m.assigned().version.value, 2U);
+    m.take_assignment(make_assignment(3, 2));
+    EXPECT_FALSE(m.take_notes().empty());
+}
+
 TEST(order_machine, hands_streams_back_only_after_the_drain_time)
 {
     order_machine m({true, seconds(5)});
