--- a/entry/main.cpp
+++ b/entry/main.cpp
@@ -27,8 +27,8 @@
     control_bridge control(s.instance);
     entry e(s, *store, make_policy(s), control.hooks_for_entry());
     control.start(e, *store, s);
-    daemon::print_listening("poplar-entry", e.http_address(),
-                            e.inner_address(), e.admin_address());
+    daemon::print_listening("poplar-entry", e.http_address(), e.inner_address(),
+                            e.admin_address());
     observe::log(observe::event::started,
                  {{"admin", to_string(e.admin_address())}});
     stop.wait();
