entry: test once calls over a silent connection

The owner's connection goes silent while the call is out: the call is repeated to the same owner on a new connection and to no other instance.

--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -1,6 +1,7 @@
 // Guards against answers that are lost, cut or mixed on the whole path from
 // callers over HTTP to agents, and against new work for instances that leave.
 #include "entry_fixture.hpp"
+#include "system/relay.hpp"
 
 namespace poplar::entry
 {
@@ -242,6 +243,36 @@
     EXPECT_EQ(next.take_overs(), std::vector<bool>{true});
 }
 
+// A once call whose connection goes silent must neither be lost nor reach
+// another owner.
+TEST_F(entry_path, once_call_survives_a_silent_connection)
+{
+    std::atomic<bool> answers = false;
+    const auto slow = [&answers](const fb::callT& c)
+    {
+        return answers ? done(c) : nullptr;
+    };
+    fake_agent& owner =
+        add({"s1", service_report(all_shards()), 0, slow}, "desk");
+    fake_agent& other = add({"s2", service_report({}), 0, done}, "desk");
+    testing_support::relay path(owner.address());
+    records[0].address = path.address();
+    store.set_instances(records);
+    start();
+    std::thread fault(
+        [&]
+        {
+            eventually([&] { return !owner.take_overs().empty(); });
+            answers = true;
+            path.silence_open_connections();
+        });
+    const net::http_response r = book("k1");
+    fault.join();
+    EXPECT_EQ(r.status, 201U);
+    EXPECT_EQ(owner.take_overs(), (std::vector<bool>{false, false}));
+    EXPECT_TRUE(other.take_overs().empty());
+}
+
 TEST_F(entry_path, drain_refuses_new_requests_and_finishes_open_ones)
 {
     fake_agent& agent = add({"e1", engine_report(), 3});
