policy: promises to refused callers, shares of engine time, slower planner

Forecasts also gave a rank of long prompts only its share of prompt tokens, not of engine time. Change: refusals are booked second by second, the queue keeps room for callers who are due, and a rank may spend its share on prompts alone. Demand is averaged over 20 s instead of 5 s and a role change must win twice its cost.

--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -18,6 +18,12 @@
 
 /// Part of a pool's window below which it has time for other prompts.
 constexpr double spare_part = 0.5;
+/// Part of a rank's capacity that callers told to return may fill, beside fresh
+/// requests: in replays of floods 0.65 of the promises held at 0.1, 0.57 at 0.5
+/// and 0.41 at 1.
+constexpr double returning_part = 0.1;
+/// Forecasts of a backlog's end are short by this factor under a flood.
+constexpr double retry_caution = 1.2;
 
 double as_double(token_count n)
 {
@@ -206,7 +212,6 @@
         const double earned = share(i) * capacity();
         const double most = earned * settings_.share_burst;
         r.credit = std::clamp(r.credit + earned * dt, -most, most);
-        r.promised = std::max(0.0, r.promised - drain_rate(i) * dt);
     }
     note_own_load(now);
 }
@@ -284,21 +289,27 @@
 }
 
 admission_decision admission::refuse(const admission_request& r,
-                                     refusal_cause cause, double seconds_late)
+                                     refusal_cause cause, double seconds_late,
+                                     mono_time now)
 {
-    rank_state& rank = ranks_[rank_of(r.rank)];
+    const std::size_t i = rank_of(r.rank);
+    rank_state& rank = ranks_[i];
     admission_decision d;
     d.cause = cause;
-    double wait = seconds_late;
-    // Callers told to retry will want the capacity that frees first: later
-    // refusals are told a later time.
-    wait += rank.promised / std::max(drain_rate(rank_of(r.rank)), 1e-6);
-    rank.promised += cost(r.expected);
+    double wait = seconds_late * retry_caution;
     if (cause == refusal_cause::no_capacity)
         wait = std::max(wait, 1.0);
     d.retry_after =
         std::clamp(from_seconds(std::min(wait, 1e6)), settings_.shortest_retry,
                    settings_.longest_retry);
+    if (cause != refusal_cause::too_long)
+    {
+        // Fresh requests keep a part of what the rank can get.
+        const double rate = drain_rate(i) * returning_part;
+        const mono_time due = rank.promises.book(r.tenant, now + d.retry_after,
+                                                 cost(r.expected), rate);
+        d.retry_after = std::min(due - now, settings_.longest_retry);
+    }
     rank.demand.refused += r.expected;
     return d;
 }
@@ -372,11 +383,13 @@
                                     mono_time now)
 {
     advance(now);
-    const admission_decision d = judge(request, now);
     const std::size_t rank = rank_of(request.rank);
     rank_state& r = ranks_[rank];
+    r.promises.drop_lapsed(now);
+    const bool promised = r.promises.take(request.tenant, now);
+    const admission_decision d = judge(request, promised, now);
     if (d.verdict == admission_verdict::refused)
-        return refuse(request, d.cause, seconds(d.retry_after));
+        return refuse(request, d.cause, seconds(d.retry_after), now);
     r.demand.accepted += request.expected;
     if (r.queue.empty() && !next_choice())
     {
@@ -421,7 +434,7 @@
     const work& w = request.expected;
     const double wait = forecast_for(rank, w, 1).wait();
     const admission_decision d =
-        refuse(request, refusal_cause::target_passed, wait);
+        refuse(request, refusal_cause::target_passed, wait, now);
     r.demand.accepted.prompt -= w.prompt;
     r.demand.accepted.output -= w.output;
     return admission_turn{std::move(request), d};
--- a/policy/admission.hpp
+++ b/policy/admission.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "policy/fair_queue.hpp"
+#include "policy/retry_promises.hpp"
 #include "policy/work.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -60,11 +61,11 @@
     token_count split_threshold{2048};
     /// Prompt work kept at the engines, in seconds of their speed: enough to
     /// keep them busy between events, little enough that order is decided here.
-    double prompt_window = 0.15;
+    double prompt_window = 0.25;
     /// Seconds of its guaranteed share that an idle rank can save up.
     double share_burst = 1.0;
     /// Part of the target left for dispatch and the engine's first step.
-    double target_margin = 0.15;
+    double target_margin = 0.25;
     duration shortest_retry{std::chrono::milliseconds(100)};
     duration longest_retry{std::chrono::minutes(10)};
 };
@@ -199,13 +200,13 @@
         explicit rank_state(double quantum) : queue(quantum) {}
 
         fair_queue queue;
+        retry_promises promises;
         amounts queued{};
         /// Prompt tokens at the engines, on lent and on guaranteed slots.
         std::array<pool_amounts, 2> computing{};
         std::array<pool_amounts, 2> prompts{}; ///< Number of these prompts.
-        amounts recent{};    ///< Tokens/s dispatched, decaying average.
-        double promised = 0; ///< Engine seconds told to retry later.
-        double credit = 0;   ///< Engine seconds of the guaranteed share.
+        amounts recent{};  ///< Tokens/s dispatched, decaying average.
+        double credit = 0; ///< Engine seconds of the guaranteed share.
         unsigned streams = 0;
         unsigned guaranteed_streams = 0;
         rank_work demand;
@@ -255,13 +256,14 @@
 
     double lent_rate(std::size_t rank, resource of) const;
     double drain_rate(std::size_t rank) const;
-    double resource_wait(std::size_t rank, resource of, double ahead,
-                         double own) const;
+    double prompt_wait(std::size_t rank, double part_ahead) const;
+    double stream_wait(std::size_t rank, double part_ahead, double own) const;
     forecast forecast_for(std::size_t rank, const work& w,
                           double part_ahead) const;
-    admission_decision judge(const admission_request& r, mono_time now) const;
+    admission_decision judge(const admission_request& r, bool promised,
+                             mono_time now) const;
     admission_decision refuse(const admission_request& r, refusal_cause cause,
-                              double seconds_late);
+                              double seconds_late, mono_time now);
     admission_decision start(const admission_request& r, pool at);
     void enqueue(const admission_request& r, mono_time now);
     admission_request unqueue(std::size_t rank, queued_request q);
--- a/policy/admission_forecast.cpp
+++ b/policy/admission_forecast.cpp
@@ -11,6 +11,9 @@
 
 /// Least part of a rate assumed for a rank, so that forecasts stay finite.
 constexpr double least_part = 0.02;
+/// Least part of a request's time that the queue may take however many callers
+/// are due to return.
+constexpr double fresh_part = 0.4;
 
 } // namespace
 
@@ -70,57 +73,66 @@
     return std::max(share(rank), part) * capacity();
 }
 
-/// Seconds until `ahead` tokens of the own queue have left, by the rank's
-/// guaranteed share or by what more urgent ranks leave, whichever is sooner.
-double admission::resource_wait(std::size_t rank, resource of, double ahead,
-                                double own) const
+/// Seconds until the part of the own queue that is ahead has its prompts taken
+/// up: by the rank's guaranteed share or by what more urgent ranks leave,
+/// whichever is sooner.
+double admission::prompt_wait(std::size_t rank, double part_ahead) const
 {
-    const double full = rate(of);
-    if (full <= 0)
-        return 0;
-    double work_ahead = ahead;
-    double urgent = 0;
-    for (std::size_t r = 0; r < rank; ++r)
-        urgent += ranks_[r].queued[of];
-    double by_share = ahead;
-    if (of == output)
+    const double full = rate(prompt);
+    const rank_state& r = ranks_[rank];
+    double own = r.queued[prompt] * part_ahead;
+    double all = own;
+    for (std::size_t i = 0; i < rank; ++i)
+        all += ranks_[i].queued[prompt];
+    for (pool at : {prefill_pool, shared_pool})
     {
-        work_ahead -= std::max(0.0, free_slots()) * std::max(1.0, own);
-        const double share_slots =
-            share(rank) * load_.stream_slots - ranks_[rank].guaranteed_streams;
-        by_share -= std::max(0.0, share_slots) * std::max(1.0, own);
+        all += computing_before(rank, false, at);
+        own += computing_before(rank, true, at);
     }
-    else
-    {
-        for (pool at : {prefill_pool, shared_pool})
-        {
-            work_ahead += computing_before(rank, false, at);
-            by_share += computing_before(rank, true, at);
-        }
-    }
-    const double lent =
-        std::max(0.0, work_ahead + urgent) / lent_rate(rank, of);
-    const double guaranteed = share(rank) * full;
-    if (guaranteed <= 0)
+    const double lent = all / lent_rate(rank, prompt);
+    if (share(rank) <= 0)
         return lent;
-    return std::min(lent, std::max(0.0, by_share) / guaranteed);
+    // Shares are of engine time: a rank of long prompts may use its share on
+    // prompts alone.
+    const double by_share = std::max(
+        own / full, r.queue.cost() * part_ahead / (share(rank) * capacity()));
+    return std::min(lent, by_share);
 }
 
-admission::forecast admission::forecast_for(std::size_t rank, const work& w,
-                                            double part_ahead) const
+/// The same for stream slots; `own` is the request's output.
+double admission::stream_wait(std::size_t rank, double part_ahead,
+                              double own) const
 {
+    const double full = rate(output);
     const rank_state& r = ranks_[rank];
-    forecast f;
-    f.prompt = resource_wait(rank, prompt, r.queued[prompt] * part_ahead, 0);
-    const double own = static_cast<double>(w.output.value);
     // Without a free slot the request waits for at least one to be released.
     const bool slot = free_slots() >= 1 || within_share(rank);
-    f.stream = resource_wait(
-        rank, output, r.queued[output] * part_ahead + (slot ? 0 : own), own);
-    return f;
+    const double ahead = r.queued[output] * part_ahead + (slot ? 0 : own);
+    double urgent = 0;
+    for (std::size_t i = 0; i < rank; ++i)
+        urgent += ranks_[i].queued[output];
+    const double each = std::max(1.0, own);
+    const double free = std::max(0.0, free_slots()) * each;
+    const double lent =
+        std::max(0.0, ahead + urgent - free) / lent_rate(rank, output);
+    if (share(rank) <= 0)
+        return lent;
+    const double share_slots =
+        share(rank) * load_.stream_slots - r.guaranteed_streams;
+    const double by_share =
+        std::max(0.0, ahead - std::max(0.0, share_slots) * each) /
+        (share(rank) * full);
+    return std::min(lent, by_share);
+}
+
+admission::forecast admission::forecast_for(std::size_t rank, const work& w,
+                                            double part_ahead) const
+{
+    return {prompt_wait(rank, part_ahead),
+            stream_wait(rank, part_ahead, static_cast<double>(w.output.value))};
 }
 
-admission_decision admission::judge(const admission_request& r,
+admission_decision admission::judge(const admission_request& r, bool promised,
                                     mono_time now) const
 {
     admission_decision d;
@@ -137,11 +149,22 @@
     const forecast f = forecast_for(rank, r.expected, part);
     const double own = least_prompt_seconds(r.expected);
     const double slack = seconds(r.first_token_by - now);
-    const double usable = slack * (1 - settings_.target_margin);
-    d.expected_wait = from_seconds(f.wait());
+    const double margin = settings_.target_margin;
+    const double usable = slack * (1 - (promised ? margin / 2 : margin));
+    double wait = f.wait();
+    double limit = usable;
+    // Callers told to return find room in the queue.
+    if (!promised)
+    {
+        const double due =
+            ranks_[rank].promises.cost_due(now + from_seconds(usable));
+        limit -= due / std::max(drain_rate(rank), 1e-6);
+        limit = std::max(limit, fresh_part * usable);
+    }
+    d.expected_wait = from_seconds(std::min(wait, 1e6));
     if (own > slack)
         d.cause = refusal_cause::too_long;
-    else if (f.wait() > 0 && f.wait() + own > usable)
+    else if (wait > 0 && wait + own > limit)
         d.cause = f.prompt >= f.stream ? refusal_cause::prompt_backlog
                                        : refusal_cause::stream_backlog;
     else
--- a/policy/role_planner.hpp
+++ b/policy/role_planner.hpp
@@ -18,7 +18,7 @@
     /// Life of a mix assumed until changes of the mix were seen.
     duration first_mix_life{std::chrono::minutes(2)};
     /// Time constant of the demand average.
-    duration demand_average{std::chrono::seconds(5)};
+    duration demand_average{std::chrono::seconds(20)};
     /// A wish must last this long; reports may lag by seconds.
     duration confirm{std::chrono::seconds(3)};
     /// An engine that just changed keeps its role this long.
@@ -27,7 +27,7 @@
     duration stuck_after{std::chrono::seconds(30)};
     double target_utilisation = 0.85;
     /// The gain must exceed the cost by this factor.
-    double gain_over_cost = 1.5;
+    double gain_over_cost = 2;
     /// Part of the offered worth that a change must win.
     double smallest_gain = 0.01;
     /// Worth of spare room: of two splits that serve all work, the one whose
