--- a/replay/trace.cpp
+++ b/replay/trace.cpp
@@ -1,6 +1,7 @@
 #include "replay/trace.hpp"
 
 #include <array>
+#include <charconv>
 #include <sstream>
 
 namespace poplar::replay
@@ -74,13 +75,42 @@
         throw trace_error("unknown word " + word);
 }
 
+// Numbers of requests are in base 36: traces stay under 300 KB.
+constexpr int request_base = 36;
+
+std::int64_t parse_number(std::istream& in)
+{
+    std::string text;
+    in >> text;
+    std::int64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [it, ec] =
+        std::from_chars(text.data(), end, value, request_base);
+    if (ec != std::errc() || it != end || value < 0)
+        throw trace_error("not a request");
+    return value;
+}
+
+void write_number(std::ostream& out, std::int64_t value, char after)
+{
+    std::array<char, 16> buf{};
+    const auto [end, ec] =
+        std::to_chars(buf.data(), buf.data() + buf.size(), value, request_base);
+    out.write(buf.data(), end - buf.data());
+    out.put(after);
+}
+
 void parse_request(std::istream& in, trace& t)
 {
     traced_request r;
-    in >> r.at_ms >> r.kind >> r.tenant >> r.prompt >> r.output;
+    r.at_ms = parse_number(in);
+    r.kind = static_cast<std::size_t>(parse_number(in));
+    r.tenant = static_cast<std::uint32_t>(parse_number(in));
+    r.prompt = parse_number(in);
+    r.output = parse_number(in);
     if (!t.requests.empty())
         r.at_ms += t.requests.back().at_ms;
-    if (!in || r.kind >= t.kinds.size() || r.prompt < 1 || r.output < 1)
+    if (r.kind >= t.kinds.size() || r.prompt < 1 || r.output < 1)
         throw trace_error("not a request");
     t.requests.push_back(r);
 }
@@ -116,8 +146,11 @@
     std::int64_t before = 0;
     for (const traced_request& r : t.requests)
     {
-        out << r.at_ms - before << ' ' << r.kind << ' ' << r.tenant << ' '
-            << r.prompt << ' ' << r.output << '\n';
+        write_number(out, r.at_ms - before, ' ');
+        write_number(out, static_cast<std::int64_t>(r.kind), ' ');
+        write_number(out, r.tenant, ' ');
+        write_number(out, r.prompt, ' ');
+        write_number(out, r.output, '\n');
         before = r.at_ms;
     }
 }
