--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -134,8 +134,8 @@
         record.generation = sheet_generation(generation);
         record.export_id = std::to_string(generation);
         record.text = text;
-        const object_version version = store.get(sheet::sheet_key).version;
-        store.put(sheet::sheet_key, sheet::to_json(record), version);
+        const object_version version = store_.get(sheet::sheet_key).version;
+        store_.put(sheet::sheet_key, sheet::to_json(record), version);
     }
     fake_agent& add(fake_agent_options options, const std::string& group = "g")
     {
@@ -144,11 +144,11 @@
         r.group = group_id(group);
         r.kind = group == "g" ? platform::instance_kind::engine
                               : platform::instance_kind::service;
-        agents.push_back(std::make_unique<fake_agent>(std::move(options)));
-        r.address = agents.back()->address();
-        records.push_back(r);
-        store.set_instances(records);
-        return *agents.back();
+        agents_.push_back(std::make_unique<fake_agent>(std::move(options)));
+        r.address = agents_.back()->address();
+        records_.push_back(r);
+        store_.set_instances(records_);
+        return *agents_.back();
     }
     void start(bool with_sheet = true)
     {
@@ -162,15 +162,15 @@
         s.limits.max_output = token_count(60000);
         if (with_sheet)
             publish(5);
-        running = std::make_unique<entry>(s, store, make_basic_policy({}));
-        ASSERT_TRUE(eventually([&] { return usable() == agents.size(); }));
+        running_ = std::make_unique<entry>(s, store_, make_basic_policy({}));
+        ASSERT_TRUE(eventually([&] { return usable() == agents_.size(); }));
         ASSERT_TRUE(
-            eventually([&] { return running->is_ready() == with_sheet; }));
+            eventually([&] { return running_->is_ready() == with_sheet; }));
     }
     std::size_t usable()
     {
         std::size_t n = 0;
-        for (const auto& [group, view] : running->take_control_view())
+        for (const auto& [group, view] : running_->take_control_view())
             n += static_cast<std::size_t>(std::ranges::count(
                 view.agents, unusable::none, &agent_load::why));
         return n;
@@ -189,7 +189,7 @@
     {
         net::client_request r;
         r.method = body.empty() ? "GET" : "POST";
-        r.to = running->http_address();
+        r.to = running_->http_address();
         r.path = path;
         r.body = body;
         r.timeout = seconds(30);
@@ -198,7 +198,7 @@
     net::http_response chat(std::uint32_t tokens, bool stream,
                             const std::string& prompt = "a b")
     {
-        return client
+        return client_
             .fetch(request("/v1/chat/completions",
                            chat_body(tokens, stream, prompt)))
             .response;
@@ -221,7 +221,7 @@
             absl::MutexLock lock(&x->mutex);
             x->result = std::move(r);
         };
-        x->number = client.start(
+        x->number = client_.start(
             request("/v1/chat/completions", chat_body(tokens, true)), h);
         return x;
     }
@@ -229,14 +229,14 @@
     {
         net::client_request r = request("/services/desk/book", "seat 4");
         r.headers = {{"Idempotency-Key", key}};
-        return client.fetch(r).response;
+        return client_.fetch(r).response;
     }
     json admin(const std::string& path)
     {
         net::client_request r;
-        r.to = running->admin_address();
+        r.to = running_->admin_address();
         r.path = path;
-        return json::parse(client.fetch(r).response.body);
+        return json::parse(client_.fetch(r).response.body);
     }
     static std::string header(const net::http_response& r, const char* name)
     {
@@ -244,11 +244,11 @@
         return value ? *value : "";
     }
 
-    platform::memory_store store;
-    std::vector<platform::instance_record> records;
-    std::vector<std::unique_ptr<fake_agent>> agents;
-    net::http_client client;
-    std::unique_ptr<entry> running;
+    platform::memory_store store_;
+    std::vector<platform::instance_record> records_;
+    std::vector<std::unique_ptr<fake_agent>> agents_;
+    net::http_client client_;
+    std::unique_ptr<entry> running_;
 };
 
 } // namespace poplar::entry
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -46,7 +46,7 @@
     EXPECT_EQ(header(refused, "Poplar-Ran"), "no");
     EXPECT_NE(header(refused, "Retry-After"), "");
     publish(9);
-    ASSERT_TRUE(eventually([&] { return running->is_ready(); }));
+    ASSERT_TRUE(eventually([&] { return running_->is_ready(); }));
     publish(8);
     std::this_thread::sleep_for(milliseconds(100));
     EXPECT_EQ(admin("/status")["sheet_generation"], 9);
@@ -78,7 +78,7 @@
     {
         net::client_request r = request(w.path, w.body);
         r.headers = {{"Poplar-Tenant", w.tenant}, {"Poplar-Rank", w.rank}};
-        const net::http_response got = client.fetch(r).response;
+        const net::http_response got = client_.fetch(r).response;
         EXPECT_EQ(got.status, w.status) << w.type;
         EXPECT_EQ(json::parse(got.body)["error"]["type"], w.type);
         EXPECT_EQ(header(got, "Poplar-Ran"), "no") << w.type;
@@ -94,12 +94,12 @@
     const auto x = start_chat(30);
     ASSERT_TRUE(eventually(
         [&] { return x->text().find(token_text(9)) != std::string::npos; }));
-    const std::size_t first = agents[0]->opens() == 1 ? 0 : 1;
-    agents[1 - first]->release();
-    agents[first]->kill();
+    const std::size_t first = agents_[0]->opens() == 1 ? 0 : 1;
+    agents_[1 - first]->release();
+    agents_[first]->kill();
     ASSERT_TRUE(eventually([&] { return x->has_ended(); }));
     EXPECT_EQ(streamed_text(x->text()), whole_answer(30));
-    EXPECT_EQ(agents[1 - first]->last_open().resume_text, whole_answer(10));
+    EXPECT_EQ(agents_[1 - first]->last_open().resume_text, whole_answer(10));
 }
 
 TEST_F(entry_path, attaches_after_a_lost_connection)
@@ -166,7 +166,7 @@
         absl::MutexLock lock(&slow->mutex);
         slow->is_paused = false;
     }
-    client.resume(slow->number);
+    client_.resume(slow->number);
     ASSERT_TRUE(eventually([&] { return slow->has_ended(); }));
     EXPECT_EQ(streamed_text(slow->text()), whole_answer(tokens));
 }
@@ -177,7 +177,7 @@
     start();
     const auto x = start_chat(30);
     ASSERT_TRUE(eventually([&] { return !x->text().empty(); }));
-    client.cancel(x->number);
+    client_.cancel(x->number);
     EXPECT_TRUE(eventually([&] { return agent.cancels() == 1; }));
     EXPECT_TRUE(
         eventually([&] { return admin("/status")["open_streams"] == 0; }));
@@ -190,12 +190,12 @@
     assigned.assignments = {
         {instance_id("e1"), sheet::engine_role::decode, model_id("m")}};
     const std::string text = control::to_json(assigned);
-    const object_version first = store.put(key, text, {}).version;
+    const object_version first = store_.put(key, text, {}).version;
     fake_agent& agent = add({"e1", engine_report()});
     start();
     ASSERT_TRUE(eventually([&] { return !agent.assignments().empty(); }));
     EXPECT_EQ(agent.assignments().back().version, first.value);
-    const object_version second = store.put(key, text, first).version;
+    const object_version second = store_.put(key, text, first).version;
     ASSERT_TRUE(eventually(
         [&] { return agent.assignments().back().version == second.value; }));
     EXPECT_EQ(agent.assignments().back().role, fb::engine_role::decode);
@@ -256,8 +256,8 @@
         add({"s1", service_report(all_shards()), 0, slow}, "desk");
     fake_agent& other = add({"s2", service_report({}), 0, done}, "desk");
     testing_support::relay path(owner.address());
-    records[0].address = path.address();
-    store.set_instances(records);
+    records_[0].address = path.address();
+    store_.set_instances(records_);
     start();
     std::thread fault(
         [&]
@@ -279,8 +279,8 @@
     start();
     const auto x = start_chat(30);
     ASSERT_TRUE(eventually([&] { return !x->text().empty(); }));
-    std::thread drainer([&] { running->drain(); });
-    ASSERT_TRUE(eventually([&] { return !running->is_ready(); }));
+    std::thread drainer([&] { running_->drain(); });
+    ASSERT_TRUE(eventually([&] { return !running_->is_ready(); }));
     const net::http_response refused = chat(1, false);
     if (refused.status != 200) // 0 once the socket is closed.
         EXPECT_TRUE(refused.status == 503 || refused.status == 0);
