--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -70,7 +70,9 @@
     if (settings_.kind == upstream_kind::service)
         ledger_ = make_ledger();
     keeper_ = std::make_unique<platform_keeper>(
-        store_, keeper_options{settings_.instance, settings_.group, address_},
+        store_,
+        keeper_options{settings_.instance, settings_.group, address_,
+                       settings_.slot_check_interval},
         make_keeper_hooks());
     tick();
 }
@@ -158,11 +160,9 @@
         is_superseded_ = true;
         orders_->stop();
     };
-    h.assigned = [this](const std::optional<assignment>& a)
+    h.assigned = [this](const std::optional<assignment>& part)
     {
-        if (a)
-            orders_->take_assignment(*a);
-        orders_->platform_was_read();
+        orders_->platform_was_read(part);
     };
     return h;
 }
