Give connections serials that are unique in the process

Cause: control_faults_test saw rollouts that a new owner did not finish. The status pages showed an agent that counted one entry where two were connected: each thread of a wire loop numbered its connections from 1, so an agent that keyed its entries by serial forgot one entry when another was killed, and sent it no more load reports; the owner waited for a report that never came. Ruled out: ownership and planning (epoch 2 was written and the other engines finished) and the engines (idle in the old version). Change: all threads draw from one counter; wire_test checks it with two threads. The test of a crash during a drain now undrains: a drained engine gets no orders by design, which the agent's record showed.

--- a/tests/system/control_faults_test.cpp
+++ b/tests/system/control_faults_test.cpp
@@ -45,15 +45,20 @@
            "\"\nroles = \"all_mixed\"\nmax_changing = 2\n";
 }
 
-bool all_run_version(cluster& c, int version)
+std::size_t count_version(cluster& c, int version)
 {
-    return std::ranges::all_of(
+    return static_cast<std::size_t>(std::ranges::count_if(
         c.engines,
         [&](const upstream_slot& slot)
         {
             const json s = c.get_json(slot.upstream->http(), "/v1/state");
             return !s.is_null() && s.at("version") == std::to_string(version);
-        });
+        }));
+}
+
+bool all_run_version(cluster& c, int version)
+{
+    return count_version(c, version) == c.engines.size();
 }
 
 /// Fails when an engine took up an order that another one in progress
@@ -253,6 +258,13 @@
             c.restart_upstream(slot);
         }
     }
+    if (GetParam() == engine_fault::crash_during_drain)
+    {
+        // An engine that is drained gets no orders until it is back in use.
+        EXPECT_TRUE(wait_for([&] { return count_version(c, 2) >= 2; }));
+        ASSERT_EQ(
+            c.ctl({"undrain", "--operator", "test", "engine-0"}).exit_code, 0);
+    }
     EXPECT_TRUE(wait_for([&] { return all_run_version(c, 2); }));
     expect_clean_orders(c);
 }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
+#include <set>
 #include <unistd.h>
 
 namespace poplar::wire
@@ -429,6 +430,31 @@
     EXPECT_EQ(wrong, 0U);
 }
 
+// Tables of connections are keyed by serial: when threads of one loop gave the
+// same number twice, one connection's end removed another from the table.
+TEST(connection, serials_are_unique_among_the_threads_of_a_process)
+{
+    constexpr std::size_t connections = 20;
+    absl::Mutex mutex;
+    std::set<std::uint64_t> serials;
+    connection_hooks hooks;
+    hooks.opened = [&](const connection_ptr& c, const fb::helloT&)
+    {
+        absl::MutexLock lock(&mutex);
+        serials.insert(c->serial());
+    };
+    loop server(options("agent"));
+    loop client(options("entry"));
+    const ip_address at = server.listen(any_port, hooks);
+    for (std::size_t n = 0; n < connections; ++n)
+        client.connect(at, hooks);
+    auto all_seen = [&] { return serials.size() == 2 * connections; };
+    absl::MutexLock lock(&mutex);
+    EXPECT_TRUE(
+        mutex.AwaitWithTimeout(absl::Condition(&all_seen), absl::Seconds(5)))
+        << serials.size() << " serials";
+}
+
 TEST(loop, closes_connections_and_drops_tasks_when_destroyed)
 {
     observer a;
--- a/wire/worker.cpp
+++ b/wire/worker.cpp
@@ -84,7 +84,9 @@
 
 std::uint64_t worker::make_id()
 {
-    return next_id_++;
+    // Shared by all workers: ids serve as serials of connections as well.
+    static std::atomic<std::uint64_t> next_id{1};
+    return next_id++;
 }
 
 bool worker::is_current() const
--- a/wire/worker.hpp
+++ b/wire/worker.hpp
@@ -92,7 +92,6 @@
     std::thread thread_;
     std::atomic<std::thread::id> thread_id_;
     std::atomic<bool> stopping_{false};
-    std::atomic<std::uint64_t> next_id_{1};
     mono_time next_tick_;
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<watched>> watched_;
 
