--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -32,10 +32,7 @@
 
 client_request post(const ip_address& to, const std::string& body)
 {
-    client_request r = get(to, "/");
-    r.method = "POST";
-    r.body = body;
-    return r;
+    return {.method = "POST", .to = to, .headers = {}, .body = body};
 }
 
 /// Waits until `condition` holds; false after five seconds.
@@ -61,6 +58,18 @@
     return s;
 }
 
+/// Hooks that expect this end and then notify.
+client_hooks expect_end(client_failure failure, absl::Notification& done)
+{
+    client_hooks hooks;
+    hooks.done = [failure, &done](const client_result& r)
+    {
+        EXPECT_EQ(r.failure, failure) << r.detail;
+        done.Notify();
+    };
+    return hooks;
+}
+
 TEST(http_server, passes_the_whole_request_and_answer)
 {
     http_server server(
@@ -149,18 +158,13 @@
     absl::Mutex mutex;
     std::string body;
     absl::Notification done;
-    client_hooks hooks;
+    client_hooks hooks = expect_end(client_failure::none, done);
     hooks.body_piece = [&](std::string_view piece)
     {
         absl::MutexLock lock(&mutex);
         body += piece;
         return true;
     };
-    hooks.done = [&](const client_result& r)
-    {
-        EXPECT_EQ(r.failure, client_failure::none);
-        done.Notify();
-    };
     client.start(get(server.address(), "/"), hooks);
     arrived.WaitForNotification();
     const auto has = [&](const char* text)
@@ -224,14 +228,8 @@
                        });
     http_client client;
     absl::Notification done;
-    const exchange_number n =
-        client.start(get(server.address(), "/"),
-                     {{},
-                      [&](const client_result& r)
-                      {
-                          EXPECT_EQ(r.failure, client_failure::canceled);
-                          done.Notify();
-                      }});
+    const exchange_number n = client.start(
+        get(server.address(), "/"), expect_end(client_failure::canceled, done));
     ASSERT_TRUE(eventually([&] { return server.open_requests() == 1; }));
     std::this_thread::sleep_for(50ms);
     client.cancel(n);
@@ -475,7 +473,7 @@
     std::atomic<int> refused = 0;
     std::atomic<exchange_number> number = 0;
     absl::Notification done;
-    client_hooks hooks;
+    client_hooks hooks = expect_end(client_failure::none, done);
     hooks.body_piece = [&](std::string_view piece)
     {
         if (refused == 0)
@@ -486,11 +484,6 @@
         body += piece;
         return true;
     };
-    hooks.done = [&](const client_result& r)
-    {
-        EXPECT_EQ(r.failure, client_failure::none);
-        done.Notify();
-    };
     client_request r = get(server.address(), "/");
     r.idle_timeout = 500ms; // Must not run while paused.
     number = client.start(r, hooks);
