--- a/policy/retry_promises.cpp
+++ b/policy/retry_promises.cpp
@@ -35,35 +35,34 @@
     booked_[at] += cost;
     const mono_time due =
         std::max(earliest, mono_time(std::chrono::seconds(at)));
-    const auto [line, added] = lines_.try_emplace(tenant);
+    const auto [it, added] = lines_.try_emplace(tenant);
     if (added)
         check_order_.push_back(tenant);
-    line->second.push_back({due, cost});
+    it->second.emplace(due, cost);
     return due;
 }
 
-void retry_promises::unbook(const promise& p)
+void retry_promises::unbook(mono_time due, double cost)
 {
-    const auto it = booked_.find(second_of(p.due));
+    const auto it = booked_.find(second_of(due));
     if (it == booked_.end())
         return;
-    it->second -= p.cost;
+    it->second -= cost;
     if (it->second < 1e-9)
         booked_.erase(it);
 }
 
 bool retry_promises::take(const tenant_id& tenant, mono_time now)
 {
-    const auto line = lines_.find(tenant);
-    if (line == lines_.end())
+    const auto found = lines_.find(tenant);
+    if (found == lines_.end())
         return false;
-    const auto it = std::ranges::find_if(
-        line->second, [now](const promise& p)
-        { return p.due <= now + early && p.due + late >= now; });
-    if (it == line->second.end())
+    line& promises = found->second;
+    const auto oldest = promises.lower_bound(now - late);
+    if (oldest == promises.end() || oldest->first > now + early)
         return false;
-    unbook(*it);
-    line->second.erase(it);
+    unbook(oldest->first, oldest->second);
+    promises.erase(oldest);
     return true;
 }
 
@@ -84,11 +83,11 @@
         return;
     tenant_id tenant = std::move(check_order_.front());
     check_order_.pop_front();
-    const auto line = lines_.find(tenant);
-    std::erase_if(line->second,
-                  [now](const promise& p) { return p.due + late < now; });
-    if (line->second.empty())
-        lines_.erase(line);
+    const auto it = lines_.find(tenant);
+    line& promises = it->second;
+    promises.erase(promises.begin(), promises.lower_bound(now - late));
+    if (promises.empty())
+        lines_.erase(it);
     else
         check_order_.push_back(std::move(tenant));
 }
--- a/policy/retry_promises.hpp
+++ b/policy/retry_promises.hpp
@@ -31,16 +31,13 @@
 private:
     using second = std::int64_t;
 
-    struct promise
-    {
-        mono_time due;
-        double cost = 0;
-    };
+    /// Engine seconds by time due.
+    using line = std::multimap<mono_time, double>;
 
-    void unbook(const promise& p);
+    void unbook(mono_time due, double cost);
 
     std::map<second, double> booked_; ///< Engine seconds by second.
-    absl::flat_hash_map<tenant_id, std::deque<promise>> lines_;
+    absl::flat_hash_map<tenant_id, line> lines_;
     std::deque<tenant_id> check_order_; ///< Each tenant of lines_ once.
 };
 
--- a/policy/role_planner.cpp
+++ b/policy/role_planner.cpp
@@ -250,9 +250,8 @@
             computes_prompts_only(from) ? domain.prefill : domain.streams;
         const unsigned in_group =
             computes_prompts_only(from) ? c.prefill : c.streams;
-        const bool is_last = rule == domain_rule::keep_last_of_role
-                                 ? same <= 1
-                                 : in_group <= 1;
+        const bool is_last =
+            rule == domain_rule::keep_last_of_role ? same <= 1 : in_group <= 1;
         if (is_last)
         {
             if (plan.hold == hold_reason::no_engine)
@@ -299,8 +298,8 @@
         // The sheet's numbers hold even where a failure domain has too few
         // engines to keep both roles.
         if (!e && reason == role_reason::fixed_by_sheet)
-            e = candidate(input, left, to, domain_rule::keep_last_of_group,
-                          now, plan);
+            e = candidate(input, left, to, domain_rule::keep_last_of_group, now,
+                          plan);
         if (!e)
             return;
         plan.changes.push_back({e->instance, e->role, to, reason});
--- a/replay/main.cpp
+++ b/replay/main.cpp
@@ -24,6 +24,7 @@
                            const std::vector<int>& seeds)
 {
     std::vector<trace> traces;
+    traces.reserve(files.size() + 4 * seeds.size());
     for (const std::string& file : files)
         traces.push_back(load_trace(file));
     for (int seed : seeds)
--- a/replay/report.cpp
+++ b/replay/report.cpp
@@ -40,14 +40,10 @@
 
 double accepted_on_target(const figures& f)
 {
-    double offered = 0;
     double met = 0;
     for (const rank_figures& r : f.ranks)
-    {
-        offered += r.offered;
         met += r.met;
-    }
-    const double late = static_cast<double>(f.late_accepted);
+    const auto late = static_cast<double>(f.late_accepted);
     return met + late > 0 ? met / (met + late) : 1;
 }
 
@@ -214,10 +210,12 @@
             return f.ranks[rank].part();
         for (std::size_t i = 0; i < f.floods.size(); ++i)
         {
-            const std::string prefix = "flood_" + std::to_string(i);
-            if (name == prefix + "_kept_" + suffix)
+            std::string figure = "flood_";
+            figure += std::to_string(i);
+            if (name == std::string(figure).append("_kept_").append(suffix))
                 return kept(c, f, i, rank);
-            if (name == prefix + "_on_target_" + suffix)
+            if (name ==
+                std::string(figure).append("_on_target_").append(suffix))
                 return f.floods[i].ranks[rank].part();
         }
     }
