policy: plans count on a quarter of decode engines' prompt time; documentation

Cause: the planner kept 6 prefill engines in floods of layouts (press-flood), counting on prompt time of decode engines in which long prompts miss their targets. Ruled out: serving guaranteed shares first in the plan (no effect).

--- a/policy/role_planner.cpp
+++ b/policy/role_planner.cpp
@@ -136,7 +136,7 @@
     const engine_speed& speed = settings_.speed;
     const double use = settings_.target_utilisation;
     room left{prefill * use, streams * use,
-              streams * use * speed.shared_prefill};
+              streams * use * speed.shared_prefill * settings_.shared_counted};
     const room all = left;
     double offered = 0;
     double served = 0;
--- a/policy/role_planner.hpp
+++ b/policy/role_planner.hpp
@@ -26,6 +26,9 @@
     /// A change that takes longer is stuck; the engine counts as away.
     duration stuck_after{std::chrono::seconds(30)};
     double target_utilisation = 0.85;
+    /// Part of the prompt time of decode engines that a plan counts on: long
+    /// prompts beside decoding miss their targets.
+    double shared_counted = 0.25;
     /// The gain must exceed the cost by this factor.
     double gain_over_cost = 2;
     /// Part of the offered worth that a change must win.
--- a/tests/replay_missed_outcomes_test.cpp
+++ b/tests/replay_missed_outcomes_test.cpp
@@ -46,7 +46,6 @@
 
 INSTANTIATE_TEST_SUITE_P(table, missed_outcome,
                          testing::Values("goodput_at_least_best_baseline",
-                                         "normal_kept_in_flood_of_most_urgent",
                                          "retry_after_true_in_swings",
                                          "retry_after_true_in_floods"));
 
--- a/tests/replay_test.cpp
+++ b/tests/replay_test.cpp
@@ -188,6 +188,11 @@
     expect_met("normal_kept_in_flood_of_least_urgent");
 }
 
+TEST_F(stated_outcomes, normal_kept_in_flood_of_most_urgent)
+{
+    expect_met("normal_kept_in_flood_of_most_urgent");
+}
+
 TEST_F(stated_outcomes, later_kept_in_flood_of_most_urgent)
 {
     expect_met("later_kept_in_flood_of_most_urgent");
