--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -16,8 +16,12 @@
 constexpr duration history_step = std::chrono::milliseconds(50);
 constexpr double quantum_seconds = 0.05;
 
-/// Part of a pool's window below which it has time for other prompts.
-constexpr double spare_part = 0.5;
+/// Part of a rank's capacity that callers told to return may fill, beside fresh
+/// requests: in replays of floods 0.65 of the promises held at 0.1, 0.57 at 0.5
+/// and 0.41 at 1.
+constexpr double returning_part = 0.1;
+/// Forecasts of a backlog's end are short by this factor under a flood.
+constexpr double retry_caution = 1.2;
 
 double as_double(token_count n)
 {
@@ -44,151 +48,6 @@
     return settings_.ranks[rank].guaranteed_share;
 }
 
-admission::amounts admission::amounts_of(const work& w)
-{
-    return {as_double(w.prompt), as_double(w.output)};
-}
-
-double admission::rate(resource of) const
-{
-    return of == output ? load_.decode_rate
-                        : load_.prefill_rate + load_.shared_prefill_rate;
-}
-
-double admission::pool_rate(pool at) const
-{
-    return at == prefill_pool ? load_.prefill_rate : load_.shared_prefill_rate;
-}
-
-double admission::pool_speed(pool at) const
-{
-    if (pool_rate(at) <= 0)
-        return 0;
-    return at == prefill_pool ? settings_.speed.prefill_tokens_per_second
-                              : settings_.speed.shared_prefill_rate();
-}
-
-double admission::least_prompt_seconds(const work& w) const
-{
-    const double speed =
-        std::max({pool_speed(prefill_pool), pool_speed(shared_pool), 1.0});
-    return as_double(w.prompt) / speed;
-}
-
-double admission::cost(const work& w) const
-{
-    return engine_seconds(w, settings_.speed);
-}
-
-double admission::capacity() const
-{
-    return rate(prompt) / settings_.speed.prefill_tokens_per_second +
-           load_.decode_rate / settings_.speed.decode_tokens_per_second;
-}
-
-double admission::before(std::array<pool_amounts, 2> rank_state::*amounts,
-                         std::size_t rank, bool guaranteed, pool at) const
-{
-    double sum = 0;
-    for (std::size_t r = 0; r < ranks_.size(); ++r)
-    {
-        const auto& [lent, own] = ranks_[r].*amounts;
-        if (r <= rank || !guaranteed)
-            sum += own[at];
-        if (r <= rank && !guaranteed)
-            sum += lent[at];
-    }
-    return sum;
-}
-
-double admission::computing_before(std::size_t rank, bool guaranteed,
-                                   pool at) const
-{
-    return foreign_prompt_[at] +
-           before(&rank_state::computing, rank, guaranteed, at);
-}
-
-double admission::streams() const
-{
-    double sum = 0;
-    for (const rank_state& r : ranks_)
-        sum += r.streams;
-    return sum;
-}
-
-double admission::free_slots() const
-{
-    return load_.stream_slots - streams() - foreign_streams_;
-}
-
-bool admission::has_share_slot(std::size_t rank) const
-{
-    return ranks_[rank].guaranteed_streams + 1 <=
-           share(rank) * load_.stream_slots;
-}
-
-bool admission::within_share(std::size_t rank) const
-{
-    return ranks_[rank].credit > 0 && has_share_slot(rank);
-}
-
-bool admission::pool_has_room(std::size_t rank, bool guaranteed, pool at) const
-{
-    if (pool_rate(at) <= 0)
-        return false;
-    const double window = pool_rate(at) * settings_.prompt_window;
-    if (computing_before(rank, guaranteed, at) < window)
-        return true;
-    // Long prompts: at least one for each engine, so that none is idle.
-    const double engines = pool_rate(at) / pool_speed(at);
-    const double prompts = before(&rank_state::prompts, rank, guaranteed, at);
-    return prompts + 1 <= engines && foreign_prompt_[at] < window;
-}
-
-bool admission::in_time(std::size_t rank, bool guaranteed, const work& w,
-                        mono_time first_token_by, pool at) const
-{
-    const double ready =
-        computing_before(rank, guaranteed, at) / pool_rate(at) +
-        as_double(w.prompt) / pool_speed(at);
-    const double left = seconds(first_token_by - advanced_);
-    return ready <= left * (1 - settings_.target_margin);
-}
-
-std::optional<admission::pool>
-admission::pool_for(std::size_t rank, const work& w,
-                    mono_time first_token_by) const
-{
-    const bool guaranteed = within_share(rank);
-    if (load_.decode_rate <= 0 || (!guaranteed && free_slots() < 1))
-        return std::nullopt;
-    // A stream engine computes prompts less efficiently and slows its streams:
-    // short prompts take prefill engines too while these have time to spare.
-    const bool is_long = w.prompt >= settings_.split_threshold;
-    const bool prefill_room = pool_has_room(rank, guaranteed, prefill_pool);
-    if (prefill_room && (is_long || has_spare(prefill_pool)))
-        return prefill_pool;
-    if (pool_has_room(rank, guaranteed, shared_pool) &&
-        (load_.prefill_rate <= 0 ||
-         in_time(rank, guaranteed, w, first_token_by, shared_pool)))
-        return shared_pool;
-    return prefill_room ? std::optional(prefill_pool) : std::nullopt;
-}
-
-bool admission::has_spare(pool at) const
-{
-    double computing = foreign_prompt_[at];
-    double prompts = 0;
-    for (const rank_state& r : ranks_)
-    {
-        computing += r.computing[0][at] + r.computing[1][at];
-        prompts += r.prompts[0][at] + r.prompts[1][at];
-    }
-    const double window = pool_rate(at) * settings_.prompt_window;
-    return computing < spare_part * window ||
-           prompts < spare_part * pool_rate(at) / pool_speed(at);
-}
-
 void admission::advance(mono_time now)
 {
     if (advanced_ == mono_time())
@@ -206,7 +65,6 @@
         const double earned = share(i) * capacity();
         const double most = earned * settings_.share_burst;
         r.credit = std::clamp(r.credit + earned * dt, -most, most);
-        r.promised = std::max(0.0, r.promised - drain_rate(i) * dt);
     }
     note_own_load(now);
 }
@@ -284,21 +142,27 @@
 }
 
 admission_decision admission::refuse(const admission_request& r,
-                                     refusal_cause cause, double seconds_late)
+                                     refusal_cause cause, double seconds_late,
+                                     mono_time now)
 {
-    rank_state& rank = ranks_[rank_of(r.rank)];
+    const std::size_t i = rank_of(r.rank);
+    rank_state& rank = ranks_[i];
     admission_decision d;
     d.cause = cause;
-    double wait = seconds_late;
-    // Callers told to retry will want the capacity that frees first: later
-    // refusals are told a later time.
-    wait += rank.promised / std::max(drain_rate(rank_of(r.rank)), 1e-6);
-    rank.promised += cost(r.expected);
+    double wait = seconds_late * retry_caution;
     if (cause == refusal_cause::no_capacity)
         wait = std::max(wait, 1.0);
     d.retry_after =
         std::clamp(from_seconds(std::min(wait, 1e6)), settings_.shortest_retry,
                    settings_.longest_retry);
+    if (cause != refusal_cause::too_long)
+    {
+        // Fresh requests keep a part of what the rank can get.
+        const double rate = drain_rate(i) * returning_part;
+        const mono_time due = rank.promises.book(r.tenant, now + d.retry_after,
+                                                 cost(r.expected), rate);
+        d.retry_after = std::min(due - now, settings_.longest_retry);
+    }
     rank.demand.refused += r.expected;
     return d;
 }
@@ -372,11 +236,13 @@
                                     mono_time now)
 {
     advance(now);
-    const admission_decision d = judge(request, now);
     const std::size_t rank = rank_of(request.rank);
     rank_state& r = ranks_[rank];
+    r.promises.drop_lapsed(now);
+    const bool promised = r.promises.take(request.tenant, now);
+    const admission_decision d = judge(request, promised, now);
     if (d.verdict == admission_verdict::refused)
-        return refuse(request, d.cause, seconds(d.retry_after));
+        return refuse(request, d.cause, seconds(d.retry_after), now);
     r.demand.accepted += request.expected;
     if (r.queue.empty() && !next_choice())
     {
@@ -421,7 +287,7 @@
     const work& w = request.expected;
     const double wait = forecast_for(rank, w, 1).wait();
     const admission_decision d =
-        refuse(request, refusal_cause::target_passed, wait);
+        refuse(request, refusal_cause::target_passed, wait, now);
     r.demand.accepted.prompt -= w.prompt;
     r.demand.accepted.output -= w.output;
     return admission_turn{std::move(request), d};
