--- a/entry/stream_session.cpp
+++ b/entry/stream_session.cpp
@@ -251,7 +251,9 @@
                       "refused by the engines: " + frame.message, wait};
     if (attempt_ >= limits_.max_attempts)
         return not_placed(now, last, out);
-    choose(out, leg_.kind, true);
+    // Refusals of a planned change do not feed an overload, so they take
+    // nothing from the retry budget: a drain must not turn requests away.
+    choose(out, leg_.kind, frame.refusal == fb::refusal::overloaded);
 }
 
 void stream_session::leave_upstream(mono_time now, stream_event why, bool avoid,
