--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -448,7 +448,10 @@
     const ip_address at = server.listen(any_port, hooks);
     for (std::size_t n = 0; n < connections; ++n)
         client.connect(at, hooks);
-    auto all_seen = [&] { return serials.size() == 2 * connections; };
+    auto all_seen = [&]
+    {
+        return serials.size() == 2 * connections;
+    };
     absl::MutexLock lock(&mutex);
     EXPECT_TRUE(
         mutex.AwaitWithTimeout(absl::Condition(&all_seen), absl::Seconds(5)))
