--- a/tests/system/relay.cpp
+++ b/tests/system/relay.cpp
@@ -191,6 +191,8 @@
                 std::chrono::milliseconds(poll_milliseconds));
             continue;
         }
+        (to_target ? from_client_ : from_target_) +=
+            static_cast<std::uint64_t>(n);
         const relay_faults f = faults();
         const bool drop = to_target ? f.drop_to_target : f.drop_to_client;
         if (drop || s.is_silent)
--- a/tests/system/relay.hpp
+++ b/tests/system/relay.hpp
@@ -5,6 +5,7 @@
 #include "base/time.hpp"
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -21,6 +22,13 @@
     duration delay{}; ///< Of every piece of bytes, in both directions.
 };
 
+/// Bytes received so far from each side, over all connections.
+struct relay_traffic
+{
+    std::uint64_t from_client = 0;
+    std::uint64_t from_target = 0;
+};
+
 class relay
 {
 public:
@@ -42,6 +50,10 @@
     /// Closes the open connections; refuses new ones while `refuse` is set.
     void cut(bool refuse);
     void set_target(const ip_address& target);
+    relay_traffic traffic() const
+    {
+        return {from_client_, from_target_};
+    }
 
 private:
     struct session;
@@ -54,6 +66,8 @@
     int listener_ = -1;
     std::atomic<bool> is_stopping_{false};
     std::atomic<bool> is_refusing_{false};
+    std::atomic<std::uint64_t> from_client_{0};
+    std::atomic<std::uint64_t> from_target_{0};
     mutable std::mutex mutex_;
     ip_address target_;
     relay_faults faults_;
