--- a/bench/control_cost.cpp
+++ b/bench/control_cost.cpp
@@ -1,6 +1,7 @@
 /// Cost of the control work of one entry and of one agent, as real processes:
 ///
-///   poplar-control-cost entry|rows|sheet|agent|ledger [SECONDS per window]
+///   poplar-control-cost entry|rows|polls|sheet|agent|ledger [SECONDS per
+///   window]
 ///
 /// Each line is one case; "slope" lines are least squares over the cases.
 /// Binaries are taken from POPLAR_BIN, or from the folder of this one.
@@ -198,6 +199,7 @@
     unsigned other_agents = 0;  ///< Listed, in other cells.
     unsigned other_entries = 0; ///< Listed.
     unsigned tenants = 0;       ///< In the sheet.
+    duration instance_poll = std::chrono::seconds(1);
 };
 
 std::string sheet_tail(const entry_case& c)
@@ -247,7 +249,10 @@
     o.engines = 0;
     o.services = 0;
     o.relay_platform = true;
-    o.entry_settings = "cell.count = " + std::to_string(cells) + "\n";
+    o.entry_settings = "cell.count = " + std::to_string(cells) +
+                       "\ntimeouts.instance_poll = \"" +
+                       std::to_string(to_milliseconds(e.instance_poll)) +
+                       "ms\"\n";
     o.sheet_tail = sheet_tail(e);
     cluster c(o);
     list_others(c, e);
@@ -316,6 +321,20 @@
                 {0, 115, 459}, window);
 }
 
+/// The cell of the design scale and a third of the other rows, at several
+/// intervals between reads of the instance list.
+void measure_polls(duration window)
+{
+    using std::chrono::seconds;
+    const std::vector<double> polls_per_second{1, 0.25, 0.1};
+    std::vector<entry_case> cases;
+    for (const seconds interval : {seconds(1), seconds(4), seconds(10)})
+        cases.push_back(
+            {.agents = 520, .other_agents = 4000, .instance_poll = interval});
+    run_entries("per read of the instance list", cases, polls_per_second,
+                window);
+}
+
 void measure_sheet(duration window)
 {
     run_entries("per tenant in the sheet",
@@ -361,6 +380,8 @@
         measure_agents(window);
     else if (part == "rows")
         measure_rows(window);
+    else if (part == "polls")
+        measure_polls(window);
     else if (part == "sheet")
         measure_sheet(window);
     else if (part == "agent")
