--- a/control/manager.cpp
+++ b/control/manager.cpp
@@ -6,6 +6,7 @@
 #include <absl/synchronization/mutex.h>
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <thread>
 
 namespace poplar::control
@@ -129,6 +130,8 @@
     ownership owner;
     policy::role_planner planner;
     mono_time planned_at;
+    /// Sheet of the last plan as owner; none before the first one.
+    std::optional<sheet_generation> planned_for;
     std::map<instance_id, mono_time> changing_since;
     std::map<instance_id, mono_time> absent_since;
     std::string last_plan;
@@ -241,7 +244,10 @@
     const mono_time time = now();
     if (!g.owner.is_owner())
         return pass_on_demand(group.name, time);
-    if (time - g.planned_at < options_.planning_interval)
+    // A new sheet is assigned from at once: it must be in force within 4 s.
+    const bool is_new_sheet =
+        g.planned_for && *g.planned_for != sheet.generation;
+    if (!is_new_sheet && time - g.planned_at < options_.planning_interval)
         return;
     plan(sheet, group, g);
     operate(group.name, g);
@@ -274,6 +280,7 @@
     hooks_.record(group, {}, was_owner ? "ownership lost" : "ownership taken");
     g.planner = policy::role_planner(options_.planner);
     g.planned_at = now();
+    g.planned_for.reset();
 }
 
 void manager::implementation::plan(const active_sheet& sheet,
@@ -285,6 +292,7 @@
     seen.engines = hooks_.engines(group.name);
     seen.demand = take_demand(group.name);
     seen.interval = time - std::exchange(g.planned_at, time);
+    g.planned_for = sheet.generation;
     mark_changes(g, seen, time);
     planning_input input;
     input.sheet = sheet.content.get();
