--- a/tests/system/streams_test.cpp
+++ b/tests/system/streams_test.cpp
@@ -184,6 +184,38 @@
     open.expect_whole();
 }
 
+/// Kinds of the decisions that an entry recorded about a request.
+std::string decisions_about(cluster& c, const std::string& request)
+{
+    std::string all;
+    for (const entry_slot& e : c.entries)
+        all += c.get_json(e.process->address("admin"),
+                          "/explain?request=" + request)
+                   .dump();
+    return all;
+}
+
+TEST(slow_connections, are_not_taken_for_silent)
+{
+    cluster c(
+        {.entries = 2, .engines = 3, .services = 0, .relay_agents = true});
+    ASSERT_TRUE(c.wait_until_usable());
+    open_streams open{c};
+    open.open(streams);
+    ASSERT_TRUE(open.all_started());
+    for (upstream_slot& slot : c.engines)
+        slot.agent_relay->set_faults({.delay = 300ms});
+    open.expect_whole();
+    for (const caller::handle h : open.handles)
+    {
+        const std::string found =
+            decisions_about(c, open.callers.peek(h).request_id);
+        EXPECT_NE(found.find("dispatched"), std::string::npos) << found;
+        EXPECT_EQ(found.find("resumed"), std::string::npos) << found;
+        EXPECT_EQ(found.find("attempt 2"), std::string::npos) << found;
+    }
+}
+
 // Planned changes: nothing is cut at the engine and nothing at the caller.
 struct planned_case
 {
