--- a/entry/stream_session.cpp
+++ b/entry/stream_session.cpp
@@ -126,6 +126,7 @@
     leg_ = {wanted_, at.instance, at.connection, next_number_(),
             wanted_ == leg_kind::decode && kv_.has_value()};
     state_ = state::active;
+    is_unheard_ = false;
     asks_ = 0;
     lacks_tail_ = false;
     ungranted_ = 0;
@@ -196,6 +197,8 @@
     stream_actions out;
     const bool is_late = !is_current(connection, frame.stream, frame.attempt);
     const std::uint64_t last = std::uint64_t(frame.offset) + frame.tokens;
+    if (!is_late)
+        is_unheard_ = false;
     if (is_late || leg_.kind == leg_kind::prefill || last <= next_)
     {
         note(out, stream_event::frame_dropped, "late or repeated");
@@ -334,7 +337,11 @@
     if (state_ != state::active || leg_.connection != connection)
         return out;
     state_ = state::detached;
-    detached_at_ = now;
+    // Where only frames towards the agent vanish, each new connection opens
+    // and is lost again: the wait goes on from the first loss.
+    if (!is_unheard_ || now - attached_at_ >= limits_.attach_wait)
+        detached_at_ = now;
+    is_unheard_ = true;
     if (leg_.kind == leg_kind::prefill)
         leave_upstream(now, stream_event::prefill_failed, true, out);
     return out;
@@ -348,6 +355,7 @@
     if (state_ != state::detached || leg_.instance != instance)
         return out;
     state_ = state::active;
+    attached_at_ = now;
     leg_.connection = connection;
     asks_ = 0;
     lacks_tail_ = false;
--- a/entry/stream_session.hpp
+++ b/entry/stream_session.hpp
@@ -236,6 +236,9 @@
     unsigned asks_ = 0;         ///< Attach requests without progress.
     mono_time asked_at_;
     mono_time detached_at_;
+    mono_time attached_at_; ///< Of the last attach.
+    /// No data of this leg since its connection was first lost.
+    bool is_unheard_ = false;
     /// Set from the loss of an engine until the next token arrives.
     std::optional<mono_time> resuming_since_;
     bool lacks_tail_ = false; ///< The end was seen, but not all tokens.
