--- a/entry/adaptive_policy.cpp
+++ b/entry/adaptive_policy.cpp
@@ -18,6 +18,9 @@
 /// engine, whatever priorities the sheet gives.
 constexpr int guaranteed_priority = 1000;
 
+/// Agents report a changed load at least this often.
+constexpr duration report_interval = std::chrono::milliseconds(500);
+
 std::string to_text(policy::refusal_cause cause)
 {
     switch (cause)
@@ -267,7 +270,8 @@
 void adaptive_policy::update_admission(const group_id& name, mono_time now)
 {
     std::vector<policy::engine_load> loads;
-    mono_time oldest = now;
+    duration ages{};
+    std::int64_t available = 0;
     for (const auto& [instance, e] : engines_)
     {
         if (e.view.group != name)
@@ -279,11 +283,17 @@
             static_cast<std::int64_t>(e.view.report.queued_prompt_tokens));
         load.streams = e.view.report.running + e.view.report.waiting;
         if (load.available)
-            oldest = std::min(oldest, e.measured_at);
+        {
+            // An engine whose load has not changed sends no report, so its
+            // last one still holds.
+            ages += std::min(now - e.measured_at, report_interval);
+            ++available;
+        }
         loads.push_back(load);
     }
+    const duration mean = available > 0 ? ages / available : duration();
     group(name).admission.update(
-        policy::load_of_group(loads, options_.speed, oldest), now);
+        policy::load_of_group(loads, options_.speed, now - mean), now);
 }
 
 void adaptive_policy::engine_removed(const instance_id& instance)
--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -242,7 +242,12 @@
     const bool promised = r.promises.take(request.tenant, now);
     const admission_decision d = judge(request, promised, now);
     if (d.verdict == admission_verdict::refused)
-        return refuse(request, d.cause, seconds(d.retry_after), now);
+    {
+        admission_decision refusal =
+            refuse(request, d.cause, seconds(d.retry_after), now);
+        refusal.expected_wait = d.expected_wait;
+        return refusal;
+    }
     r.demand.accepted += request.expected;
     if (r.queue.empty() && !next_choice())
     {
