--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -7,11 +7,14 @@
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
+#include <arpa/inet.h>
 #include <atomic>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 #include <set>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace poplar::wire
@@ -347,6 +350,26 @@
     EXPECT_LE(now() - opened, silence_timeout + std::chrono::seconds(1));
 }
 
+// A connecting side whose bytes vanish must not take the connection for open,
+// or it would choose a peer that cannot hear it again and again.
+TEST(connection, accepting_side_says_nothing_before_it_hears_a_hello)
+{
+    loop server(options("agent"));
+    const ip_address at = server.listen(any_port, {});
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(at.port);
+    ::inet_pton(AF_INET, at.host.c_str(), &to.sin_addr);
+    ASSERT_EQ(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+    std::string received;
+    char buf[256];
+    for (ssize_t n = 0; (n = ::read(fd, buf, sizeof buf)) > 0;)
+        received.append(buf, static_cast<std::size_t>(n));
+    ::close(fd);
+    EXPECT_TRUE(received.empty()) << received.size() << " bytes";
+}
+
 TEST(connection, stays_open_by_heartbeats_alone)
 {
     observer a;
--- a/wire/tcp_connection.cpp
+++ b/wire/tcp_connection.cpp
@@ -8,6 +8,7 @@
 #include <sys/epoll.h>
 #include <sys/uio.h>
 #include <unistd.h>
+#include <utility>
 
 namespace poplar::wire
 {
@@ -43,7 +44,10 @@
 
 void tcp_connection::start(const fb::helloT& hello)
 {
-    send(encode(hello));
+    if (phase_ == phase::connecting)
+        send(encode(hello));
+    else
+        answer_hello_ = encode(hello);
     if (worker_.post([self = shared_from_this()] { self->start_watching(); }))
         return;
     absl::MutexLock lock(&mutex_);
@@ -215,6 +219,8 @@
     if (f.type != message_type::hello)
         throw protocol_error(protocol_fault::unknown_type,
                              "the first frame is no hello");
+    if (!answer_hello_.empty())
+        send(std::exchange(answer_hello_, {}));
     const auto peer = decode<fb::helloT>(f);
     if (peer.lowest_version > protocol_version ||
         peer.highest_version < lowest_protocol_version)
--- a/wire/tcp_connection.hpp
+++ b/wire/tcp_connection.hpp
@@ -80,6 +80,9 @@
     connection_hooks hooks_;
     frame_reader reader_;
     phase phase_;
+    /// Of the accepting side, sent when the peer's hello has arrived: a peer
+    /// that gets it knows that it is heard.
+    std::string answer_hello_;
     bool is_finished_ = false;
     mono_time started_;
     mono_time last_received_;
