--- a/agent/assignment.cpp
+++ b/agent/assignment.cpp
@@ -11,62 +11,6 @@
 using sheet::engine_role;
 using sheet::upstream_state;
 
-engine_role from_wire(fb::engine_role role)
-{
-    switch (role)
-    {
-    case fb::engine_role::prefill:
-        return engine_role::prefill;
-    case fb::engine_role::decode:
-        return engine_role::decode;
-    case fb::engine_role::mixed:
-        return engine_role::mixed;
-    default:
-        return engine_role::unassigned;
-    }
-}
-
-fb::engine_role to_wire(engine_role role)
-{
-    switch (role)
-    {
-    case engine_role::prefill:
-        return fb::engine_role::prefill;
-    case engine_role::decode:
-        return fb::engine_role::decode;
-    case engine_role::mixed:
-        return fb::engine_role::mixed;
-    default:
-        return fb::engine_role::unassigned;
-    }
-}
-
-upstream_state from_wire(fb::upstream_state state)
-{
-    switch (state)
-    {
-    case fb::upstream_state::draining:
-        return upstream_state::draining;
-    case fb::upstream_state::withdrawn:
-        return upstream_state::withdrawn;
-    default:
-        return upstream_state::active;
-    }
-}
-
-fb::upstream_state to_wire(upstream_state state)
-{
-    switch (state)
-    {
-    case upstream_state::draining:
-        return fb::upstream_state::draining;
-    case upstream_state::withdrawn:
-        return fb::upstream_state::withdrawn;
-    default:
-        return fb::upstream_state::active;
-    }
-}
-
 assignment from_wire(const fb::assignmentT& message)
 {
     assignment a;
--- a/agent/assignment.hpp
+++ b/agent/assignment.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/ids.hpp"
+#include "control/wire_types.hpp"
 #include "sheet/sheet.hpp"
 #include "wire/generated/inner_generated.h"
 
@@ -41,10 +42,8 @@
     bool changing = false; ///< An order is being carried out.
 };
 
-sheet::engine_role from_wire(fb::engine_role role);
-fb::engine_role to_wire(sheet::engine_role role);
-sheet::upstream_state from_wire(fb::upstream_state state);
-fb::upstream_state to_wire(sheet::upstream_state state);
+using control::from_wire;
+using control::to_wire;
 assignment from_wire(const fb::assignmentT& message);
 
 /// Throws parse_error.
