Wait for the engine's state in agent_test before reading the status page

Ruled out: the agent; the page is documented as null without a state. Change: the test waits for a report that holds both, then checks the same values.

--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -429,8 +429,13 @@
 TEST_F(agent_test, reports_load_cache_events_and_status)
 {
     start();
-    ASSERT_TRUE(entry.wait_report([](const auto& r)
-                                  { return r.kv_pieces_total == 1000; }));
+    // Load and state of the engine come from separate reads, in any order.
+    ASSERT_TRUE(entry.wait_report(
+        [](const auto& r)
+        {
+            return r.kv_pieces_total == 1000 &&
+                   r.role == wire::fb::engine_role::mixed;
+        }));
     EXPECT_TRUE(entry.first_report().cache_gap);
     const auto status = nlohmann::json::parse(subject->status_json());
     EXPECT_EQ(status.at("engine").at("role"), "mixed");
