--- a/tests/system/sheet_faults_test.cpp
+++ b/tests/system/sheet_faults_test.cpp
@@ -451,8 +451,8 @@
     return n;
 }
 
-// Prompts above split_threshold call for a prefill engine, but without the
-// platform no order may be carried out.
+// Without the platform no order may be carried out. The sheet keeps all roles
+// mixed, so no mix asks for a change here.
 TEST(outages, longer_than_every_lease_cut_nothing_and_change_no_role)
 {
     cluster c({.entries = 2,
