Gateway: a try that later ones overtake goes to another upstream

Change: open tries of one kind at one upstream are kept in order (policy/overtaking); one that waits for 400 ms or more while a later one of the same or lower urgency is answered is given up, if its route, its time and the budget allow another try, and counts against the upstream's health. Repeated readings of a prompt count against the most attempts.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -25,6 +25,8 @@
 constexpr duration max_idle_once = milliseconds(1000);
 /// A request with less time left is not sent again.
 constexpr duration shortest_try = milliseconds(40);
+/// Retries that must be left for a stalled request to be sent again.
+constexpr double least_retries_for_stalled = 2;
 /// Least pause that a refused caller is asked for.
 constexpr duration shortest_retry_after = milliseconds(100);
 /// Part of the caller's time that the pause may take; callers do not come back
@@ -157,8 +159,14 @@
 {
     upstream_call call(u->connections, make_call(options));
     current_call current(call_, call);
+    last_upstream_ = u->record.id.value;
+    ordered_try order(options.prefill_only ? u->open_readings : u->open_calls,
+                      policy::load_rank(route_->priority),
+                      [&] { give_up_stalled(*u, call, options.prefill_only); });
     plain_answer a;
     a.status = co_await call.start();
+    if (a.status == call_status::ok)
+        order.answered();
     if (a.status == call_status::ok)
     {
         a.info = call.info();
@@ -173,6 +181,31 @@
     co_return a;
 }
 
+/// Only where another try may follow, and not with the last of the budget,
+/// which is kept for upstreams that fail at once.
+void exchange::give_up_stalled(const upstream& u, upstream_call& call,
+                               bool reads_only) const
+{
+    try_history after = history_;
+    ++after.tries;
+    ++(reads_only ? after.readings : after.runs);
+    after.has_time = time_left() > shortest_try;
+    const bool has_budget =
+        fleet_->retries.available() >= least_retries_for_stalled;
+    const bool may_follow =
+        reads_only
+            ? has_budget && after.tries < most_tries && may_read_again(after)
+            : after_try(try_result::stalled, after,
+                        [&] { return has_budget; }) == next_step::retry;
+    if (call.is_given_up() || !may_follow)
+        return;
+    observe::log(event::gateway_try_stalled,
+                 {{"request", info_.id.value},
+                  {"upstream", u.record.id.value},
+                  {"left_ms", to_milliseconds(time_left())}});
+    call.give_up_stalled();
+}
+
 try_result exchange::result_of(call_status status)
 {
     switch (status)
@@ -181,6 +214,8 @@
         return try_result::answered;
     case call_status::not_connected:
         return try_result::not_sent;
+    case call_status::stalled:
+        return try_result::stalled;
     case call_status::timed_out:
         return try_result::timed_out;
     case call_status::broken:
@@ -213,6 +248,7 @@
         break;
     case try_result::answered_error:
     case try_result::lost:
+    case try_result::stalled:
     case try_result::timed_out:
     case try_result::not_run:
         u.health.failed();
@@ -230,7 +266,6 @@
         ++history_.runs;
     record_health(result, *u);
     state_.metrics.upstream_try(service_.value, to_string(result));
-    last_upstream_ = u->record.id.value;
     history_.has_time = ends_at_ - now() > shortest_try;
     const next_step step = after_try(
         result, history_, [&] { return fleet_->retries.try_retry(); });
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -81,7 +81,8 @@
     asio::awaitable<stream_end> try_stream(upstream_ptr u, send_options options,
                                            placed_work& reading);
     asio::awaitable<call_status> forward_events(upstream_call& call,
-                                                placed_work& reading);
+                                                placed_work& reading,
+                                                ordered_try& order);
     asio::awaitable<void> forward_piece(upstream_call& call,
                                         std::string events);
 
@@ -105,6 +106,9 @@
     send_options options_for(const upstream& u) const;
     duration time_left() const;
 
+    /// Ends a call that later ones have overtaken, if another try may follow.
+    void give_up_stalled(const upstream& u, upstream_call& call,
+                         bool reads_only) const;
     static try_result result_of(call_status status);
     try_result judge(const plain_answer& answer) const;
     next_step next(try_result result, const upstream_ptr& u,
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -135,6 +135,7 @@
     record_health(result, *u);
     if (result == try_result::answered && a.info.status == 200)
     {
+        ++history_.readings;
         note_parts(*u, duration{});
         prompt_read_after_ = now() - request_.received;
         if (was_free)
@@ -150,6 +151,9 @@
                   {"status", a.info.status},
                   {"left_ms", to_milliseconds(time_left())}});
     failed_at_.push_back(u->record.id);
+    ++history_.tries;
+    if (result != try_result::not_sent && result != try_result::not_run)
+        ++history_.readings;
     co_return kv_handle{};
 }
 
@@ -251,8 +255,8 @@
     }
     if (run.kv.empty())
     {
-        ++history_.tries;
-        if (history_.tries < most_tries && fleet_->retries.try_retry())
+        if (history_.tries < most_tries && may_read_again(history_) &&
+            fleet_->retries.try_retry())
             co_return loop_step::again;
         co_await refuse("prompt_not_read");
         co_return loop_step::ended;
@@ -320,6 +324,10 @@
 {
     upstream_call call(u->connections, make_call(options));
     current_call current(call_, call);
+    last_upstream_ = u->record.id.value;
+    ordered_try order(options.kv.empty() ? u->open_whole_runs : u->open_runs,
+                      policy::load_rank(route_->priority),
+                      [&] { give_up_stalled(*u, call, false); });
     stream_end end;
     end.answer.status = co_await call.start();
     if (end.answer.status != call_status::ok)
@@ -331,7 +339,7 @@
     end.answer.info = call.info();
     if (call.info().status == 200 && !call.info().not_run)
     {
-        end.answer.status = co_await forward_events(call, reading);
+        end.answer.status = co_await forward_events(call, reading, order);
         end.is_whole_stream = end.answer.status == call_status::ok;
         end.result = result_of(end.answer.status);
         end.answer.failure = call.failure();
@@ -345,7 +353,8 @@
 }
 
 asio::awaitable<call_status> exchange::forward_events(upstream_call& call,
-                                                      placed_work& reading)
+                                                      placed_work& reading,
+                                                      ordered_try& order)
 {
     std::string bytes;
     bool is_end = false;
@@ -359,6 +368,7 @@
         if (events.empty())
             continue;
         reading.end();
+        order.answered();
         co_await forward_piece(call, std::move(events));
     }
     if (events_.has_partial_event())
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -5,6 +5,7 @@
 #include "gateway/connections.hpp"
 #include "gateway/types.hpp"
 #include "policy/engine_placement.hpp"
+#include "policy/overtaking.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/upstream_health.hpp"
 
@@ -31,6 +32,10 @@
     policy::placed_engine placed;
     policy::upstream_health health;
     connection_pool connections;
+    policy::overtaking open_readings; ///< Of prompts for other engines.
+    policy::overtaking open_runs;     ///< Of prompts that others have read.
+    policy::overtaking open_whole_runs;
+    policy::overtaking open_calls;
     /// Its entry vanished around an outage of the store; it is used until
     /// this time, when live upstreams have registered again.
     mono_time lapses_at{};
--- a/gateway/placed_work.hpp
+++ b/gateway/placed_work.hpp
@@ -32,4 +32,41 @@
     policy::placed_load load_;
 };
 
+/// A try among the open ones of its kind at an upstream, until its answer
+/// begins or the scope ends.
+class ordered_try
+{
+public:
+    ordered_try(policy::overtaking& others, std::size_t rank,
+                policy::overtaking::hook on_overtaken)
+        : others_(others),
+          place_(others.begin(rank, now(), std::move(on_overtaken)))
+    {
+    }
+    ~ordered_try()
+    {
+        end();
+    }
+    ordered_try(const ordered_try&) = delete;
+    ordered_try& operator=(const ordered_try&) = delete;
+
+    void answered()
+    {
+        if (place_)
+            others_.answered(*place_, now());
+        end();
+    }
+
+private:
+    void end()
+    {
+        if (place_)
+            others_.end(*place_);
+        place_.reset();
+    }
+
+    policy::overtaking& others_;
+    std::optional<policy::overtaking::place> place_;
+};
+
 } // namespace poplar::gateway
--- a/gateway/retry_rules.cpp
+++ b/gateway/retry_rules.cpp
@@ -17,6 +17,8 @@
         return "not_run";
     case try_result::lost:
         return "lost";
+    case try_result::stalled:
+        return "stalled";
     case try_result::timed_out:
         return "timed_out";
     }
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -32,6 +32,8 @@
         return "not_connected";
     case call_status::broken:
         return "broken";
+    case call_status::stalled:
+        return "stalled";
     case call_status::timed_out:
         return "timed_out";
     case call_status::canceled:
@@ -91,6 +93,13 @@
         connection_->stream.close();
 }
 
+void upstream_call::give_up_stalled()
+{
+    is_stalled_ = true;
+    if (connection_)
+        connection_->stream.close();
+}
+
 call_status upstream_call::status_of(const error_code& ec)
 {
     failure_ = ec;
@@ -98,6 +107,8 @@
         return call_status::canceled;
     if (!ec)
         return call_status::ok;
+    if (is_stalled_)
+        return call_status::stalled;
     return ec == beast::error::timeout ? call_status::timed_out
                                        : call_status::broken;
 }
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -24,6 +24,7 @@
     ok,
     not_connected, ///< Certainly not sent.
     broken,        ///< Sent; the answer is missing or incomplete.
+    stalled,       ///< Sent; given up by `give_up_stalled`.
     timed_out,     ///< Sent; no answer in time.
     canceled       ///< By `cancel`.
 };
@@ -69,6 +70,12 @@
 
     /// Ends the call from outside of its coroutine.
     void cancel();
+    /// The same for an upstream that does not work on the request.
+    void give_up_stalled();
+    bool is_given_up() const
+    {
+        return is_stalled_ || is_canceled_;
+    }
     /// Why the last step did not succeed.
     std::string failure() const
     {
@@ -95,6 +102,7 @@
     answer_info info_;
     error_code failure_;
     bool is_canceled_ = false;
+    bool is_stalled_ = false;
     bool is_complete_ = false;
 };
 
--- /dev/null
+++ b/policy/overtaking.hpp
@@ -0,0 +1,54 @@
+/// Finds requests that an upstream has taken and does not work on.
+///
+/// Answers to upstreams that never answer part of what they take. An upstream
+/// works on requests in order of priority and arrival, so one that several
+/// later requests have overtaken is taken for stalled; time alone does not
+/// tell, since waits near capacity have long tails.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+
+namespace poplar::policy
+{
+
+struct overtaking_settings
+{
+    /// Later requests of the same or lower urgency that were answered first.
+    unsigned least_overtakers = 1;
+    /// Differences in length and in transfers are shorter than this.
+    duration shortest{std::chrono::milliseconds(400)};
+};
+
+/// Open requests of one kind at one upstream. A request that is overtaken is
+/// reported with each further answer; the hook must not begin or end requests.
+class overtaking
+{
+public:
+    using hook = std::function<void()>;
+    struct open_request
+    {
+        std::size_t rank = 0;
+        mono_time sent{};
+        unsigned overtakers = 0;
+        hook on_overtaken;
+    };
+    using place = std::list<open_request>::iterator;
+
+    explicit overtaking(const overtaking_settings& settings = {});
+
+    place begin(std::size_t rank, mono_time now, hook on_overtaken);
+    /// Its answer began; earlier requests of the same or a higher urgency have
+    /// been overtaken.
+    void answered(place p, mono_time now);
+    void end(place p);
+
+private:
+    overtaking_settings settings_;
+    std::list<open_request> open_; ///< In order of sending.
+};
+
+} // namespace poplar::policy
--- a/tests/gateway/retry_rules_test.cpp
+++ b/tests/gateway/retry_rules_test.cpp
@@ -44,6 +44,19 @@
                               true, next_step::retry},
                     rule_case{"lost_without_budget", try_result::lost,
                               repeatable, false, next_step::fail},
+                    rule_case{"stalled_once", try_result::stalled, once, true,
+                              next_step::fail},
+                    rule_case{"stalled_repeatable", try_result::stalled,
+                              repeatable, true, next_step::retry},
+                    rule_case{"lost_after_a_repeated_reading",
+                              try_result::lost,
+                              {.is_repeatable = true,
+                               .runs = 1,
+                               .tries = 2,
+                               .most_runs = 2,
+                               .readings = 2},
+                              true,
+                              next_step::fail},
                     rule_case{"error_once", try_result::answered_error, once,
                               true, next_step::deliver},
                     rule_case{"error_repeatable", try_result::answered_error,
@@ -77,6 +90,34 @@
                               true, next_step::fail}),
     [](const auto& it) { return it.param.name; });
 
+struct reading_case
+{
+    const char* name;
+    try_history history;
+    bool may_read;
+};
+
+class repeated_reading : public testing::TestWithParam<reading_case>
+{
+};
+
+// Readings after the first count against the most attempts of a route.
+TEST_P(repeated_reading, leaves_an_attempt_for_the_run)
+{
+    EXPECT_EQ(may_read_again(GetParam().history), GetParam().may_read);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    histories, repeated_reading,
+    testing::Values(
+        reading_case{"first_reading", {.most_runs = 1}, true},
+        reading_case{"one_attempt", {.most_runs = 1, .readings = 1}, false},
+        reading_case{"two_attempts", {.most_runs = 2, .readings = 1}, true},
+        reading_case{
+            "after_a_run", {.runs = 1, .most_runs = 2, .readings = 1}, false},
+        reading_case{"third_reading", {.most_runs = 2, .readings = 2}, false}),
+    [](const auto& it) { return it.param.name; });
+
 /// Plays tries with random results; returns the last step and the runs.
 RC_GTEST_PROP(retry_rules_history, keeps_promises,
               (const std::vector<unsigned char>& draws, bool is_repeatable,
@@ -90,7 +131,7 @@
     {
         if (step != next_step::retry)
             break;
-        const auto result = try_result(it % 6);
+        const auto result = try_result(it % 7);
         ++h.tries;
         if (result != try_result::not_sent && result != try_result::not_run)
             ++h.runs;
--- /dev/null
+++ b/tests/platform/gateway_streams_test.cpp
@@ -0,0 +1,209 @@
+// Guards against streams that are cut, doubled or joined wrongly, and against
+// requests lost at an engine that fails or leaves.
+#include "tests/platform/gateway_fixture.hpp"
+
+namespace poplar::gateway
+{
+namespace
+{
+
+TEST_F(gateway_test, passes_events_on_as_they_come)
+{
+    scripted_upstream u(
+        [](const std::string& head) -> scripted_answer
+        {
+            return {stream_head(field_of(head, "Attempt-Id")) +
+                    chunk("id: 1\n\n") + chunk("id: 2\n\nid: 3") +
+                    chunk("\n\n") + "0\r\n\r\n"};
+        });
+    add_upstream("i-1", u.address(), "writers", "decode");
+    start();
+    const std::string answer = fetch(prompt_request("77"), "0\r\n\r\n");
+    EXPECT_EQ(status_of(answer), "200");
+    for (const char* event : {"id: 1\n\n", "id: 2\n\n", "id: 3\n\n"})
+        EXPECT_NE(answer.find(event), std::string::npos);
+    EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+}
+
+/// First answer breaks off in the third event; the others follow `next`.
+scripted_upstream::script breaking_stream(std::atomic<unsigned>& count,
+                                          const scripted_upstream::script& next)
+{
+    return [&count, next](const std::string& head) -> scripted_answer
+    {
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        if (count++ > 0)
+            return next(head);
+        return {.bytes = stream_head(field_of(head, "Attempt-Id")) +
+                         chunk("id: 1\n\nid: 2\n\nid: 3\nda"),
+                .closes = true};
+    };
+}
+
+TEST_F(gateway_test, resumes_a_stream_at_another_engine)
+{
+    std::atomic<unsigned> count = 0;
+    std::string resumed_after;
+    const auto script =
+        breaking_stream(count,
+                        [&](const std::string& head) -> scripted_answer
+                        {
+                            resumed_after = field_of(head, "Last-Event-Id");
+                            return {stream_head(field_of(head, "Attempt-Id")) +
+                                    chunk("id: 3\n\nid: 4\n\n") + "0\r\n\r\n"};
+                        });
+    scripted_upstream a(script);
+    scripted_upstream b(script);
+    add_upstream("i-1", a.address(), "writers", "decode");
+    add_upstream("i-2", b.address(), "writers", "decode");
+    start();
+    const std::string answer = fetch(prompt_request("77"), "0\r\n\r\n");
+    EXPECT_EQ(resumed_after, "2");
+    EXPECT_EQ(answer.find("da"), std::string::npos);
+    EXPECT_NE(answer.find("id: 4\n\n"), std::string::npos);
+    EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+}
+
+struct stalled_engine_case
+{
+    const char* name;
+    const char* stage; ///< Of the engines that get the prompt first.
+};
+
+class stalled_engine : public gateway_test,
+                       public testing::WithParamInterface<stalled_engine_case>
+{
+protected:
+    static scripted_answer answer(const std::string& head)
+    {
+        const std::string id = field_of(head, "Attempt-Id");
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        if (field_of(head, "Serving-Stage") == "prefill")
+            return {whole_answer(200, id, R"({"kvHandle":"h"})")};
+        return {stream_head(id) + chunk("id: 1\n\n") + "0\r\n\r\n"};
+    }
+
+    /// Each is read anew.
+    static std::string long_prompt(const std::string& id)
+    {
+        return request("/stream/x", id,
+                       "Model: m\r\nToken-Count: 6000,20\r\n"
+                       "Prompt-Prefix: aa" +
+                           id + ":4000,bb" + id + ":2000\r\n");
+    }
+};
+
+// An engine that takes a prompt and never gives an event, or never says that
+// it has read it, was waited for until the caller left (own day
+// hanging-upstreams).
+TEST_P(stalled_engine, is_left_for_another_when_later_prompts_overtake)
+{
+    std::atomic<unsigned> count = 0;
+    scripted_upstream stalling(
+        [&](const std::string& head) -> scripted_answer
+        {
+            scripted_answer a = answer(head);
+            if (!head.starts_with("GET /kv-list"))
+                a.delay =
+                    count++ == 0 ? seconds(5) : duration(milliseconds(300));
+            return a;
+        });
+    scripted_upstream other(answer);
+    scripted_upstream runner(answer);
+    add_upstream("i-1", stalling.address(), "writers", GetParam().stage);
+    if (GetParam().stage == std::string("prefill"))
+        add_upstream("i-3", runner.address(), "writers", "decode");
+    start();
+    scripted_caller first(gateway_->address());
+    first.send(long_prompt("1"));
+    std::this_thread::sleep_for(milliseconds(450));
+    scripted_caller later(gateway_->address());
+    later.send(long_prompt("2"));
+    std::this_thread::sleep_for(milliseconds(100));
+    add_upstream("i-2", other.address(), "writers", GetParam().stage);
+    EXPECT_EQ(status_of(later.read_until("0\r\n\r\n")), "200");
+    EXPECT_EQ(status_of(first.read_until("0\r\n\r\n", seconds(1))), "200");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    stages, stalled_engine,
+    testing::Values(stalled_engine_case{"reading", "prefill"},
+                    stalled_engine_case{"whole_run", "decode"}),
+    [](const auto& it) { return it.param.name; });
+
+// A resumed stream whose second engine refused it was given a second head in
+// the middle of its answer (hunt, trouble-3 --seed 116941541183).
+TEST_F(gateway_test, breaks_off_a_stream_that_no_engine_resumes)
+{
+    std::atomic<unsigned> count = 0;
+    const auto script = breaking_stream(
+        count,
+        [](const std::string& head) -> scripted_answer
+        {
+            return {whole_answer(503, field_of(head, "Attempt-Id"), "",
+                                 "Not-Executed: 1\r\n")};
+        });
+    scripted_upstream a(script);
+    scripted_upstream b(script);
+    add_upstream("i-1", a.address(), "writers", "decode");
+    add_upstream("i-2", b.address(), "writers", "decode");
+    start();
+    scripted_caller c(gateway_->address());
+    c.send(prompt_request("77"));
+    const std::string answer = c.read_until("0\r\n\r\n", seconds(3));
+    EXPECT_NE(answer.find("id: 2\n\n"), std::string::npos);
+    EXPECT_EQ(answer.find("503"), std::string::npos);
+    EXPECT_FALSE(answer.ends_with("0\r\n\r\n"));
+    EXPECT_TRUE(c.is_closed());
+}
+
+// The engine of a stream was chosen before its prompt was read; when it began
+// to leave meanwhile, the request reached it too late (hunt, fienili-alta mix
+// --seed 166136118291).
+TEST_F(gateway_test, chooses_the_engine_of_a_stream_when_its_prompt_is_read)
+{
+    const auto streaming = [](const std::string& head) -> scripted_answer
+    {
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        return {stream_head(field_of(head, "Attempt-Id")) + chunk("id: 1\n\n") +
+                "0\r\n\r\n"};
+    };
+    scripted_upstream reader(
+        [](const std::string& head) -> scripted_answer
+        {
+            if (head.starts_with("GET /kv-list"))
+                return {whole_answer(404, "", "")};
+            return {.bytes = whole_answer(200, field_of(head, "Attempt-Id"),
+                                          R"({"kvHandle":"h"})"),
+                    .delay = milliseconds(600)};
+        });
+    scripted_upstream near(streaming);
+    scripted_upstream far(streaming);
+    add_upstream("p", reader.address(), "writers", "prefill");
+    add_upstream("near", near.address(), "writers", "decode");
+    add_upstream("far", far.address(), "writers", "decode", "west");
+    start();
+    scripted_caller c(gateway_->address());
+    c.send(request("/stream/x", "77",
+                   "Model: m\r\nToken-Count: 17000,20\r\n"
+                   "Prompt-Prefix: aa:13000,bb:4000\r\n"));
+    std::this_thread::sleep_for(milliseconds(200));
+    put("servers/near", {{"service", "writers"},
+                         {"address", to_string(near.address())},
+                         {"zone", "z"},
+                         {"slots", 8},
+                         {"state", "draining"},
+                         {"stage", "decode"},
+                         {"born", 1}});
+    EXPECT_EQ(status_of(c.read_until("0\r\n\r\n")), "200");
+    const auto heads = far.heads();
+    ASSERT_FALSE(heads.empty());
+    EXPECT_EQ(field_of(heads.back(), "Kv-Source"),
+              to_string(reader.address()) + "/h");
+}
+
+} // namespace
+} // namespace poplar::gateway
--- a/tests/policy_placement_test.cpp
+++ b/tests/policy_placement_test.cpp
@@ -4,6 +4,7 @@
 #include "policy/call_placement.hpp"
 #include "policy/engine_admission.hpp"
 #include "policy/engine_placement.hpp"
+#include "policy/overtaking.hpp"
 #include "policy/stage_plan.hpp"
 #include "policy/upstream_health.hpp"
 
@@ -368,5 +369,50 @@
     EXPECT_GT(with.refused_at_once, 0.4);
 }
 
+struct overtaking_case
+{
+    const char* name;
+    std::size_t later_rank;
+    int answered_after_ms;
+    bool is_reported;
+};
+
+class overtaken_request : public testing::TestWithParam<overtaking_case>
+{
+};
+
+// A request that waits behind more urgent ones, or a short while, is taken for
+// stalled and its prompt is read twice.
+TEST_P(overtaken_request, is_reported_when_its_upstream_cannot_work_on_it)
+{
+    const overtaking_case& c = GetParam();
+    const mono_time start(seconds(10));
+    unsigned reports = 0;
+    overtaking order;
+    order.begin(1, start, [&] { ++reports; });
+    const auto later = order.begin(c.later_rank, start, [] {});
+    order.answered(later, start + milliseconds(c.answered_after_ms));
+    order.end(later);
+    EXPECT_EQ(reports, c.is_reported ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, overtaken_request,
+    testing::Values(overtaking_case{"same_rank", 1, 500, true},
+                    overtaking_case{"less_urgent", 2, 500, true},
+                    overtaking_case{"more_urgent", 0, 500, false},
+                    overtaking_case{"soon", 1, 300, false}),
+    [](const auto& it) { return it.param.name; });
+
+TEST(overtaking, reports_no_later_request)
+{
+    unsigned reports = 0;
+    overtaking order;
+    const auto first = order.begin(1, mono_time{}, [] {});
+    order.begin(1, mono_time{}, [&] { ++reports; });
+    order.answered(first, mono_time(seconds(1)));
+    EXPECT_EQ(reports, 0U);
+}
+
 } // namespace
 } // namespace poplar::policy
