Entry: the first token leaves time for the answer

Cause: admission asked only whether the first token could come before the caller's deadline; in a flood of the least urgent rank answers began 0.2 to 0.6 s before it and ended unfinished (flood_refusals_test, 89 of 89 such ends had their first token after 4.4 s of 5). Ruled out: streams paused for guaranteed shares (the engines pause none). Change: policy::latest_first_token takes the expected output at the rate of a full batch from the deadline, at most half of the caller's time.

--- a/entry/adaptive_policy.cpp
+++ b/entry/adaptive_policy.cpp
@@ -360,12 +360,13 @@
                             .expect(request.tenant, request.model, request.rank,
                                     request.max_output)
                             .mean;
-    r.first_token_by = request.deadline;
+    mono_time target = request.deadline;
     if (request.rank.value < sheet_.ranks.size())
-        r.first_token_by =
-            std::min(request.deadline,
-                     request.arrived +
-                         sheet_.ranks[request.rank.value].first_token_target);
+        target = request.arrived +
+                 sheet_.ranks[request.rank.value].first_token_target;
+    r.first_token_by =
+        policy::latest_first_token(request.arrived, target, request.deadline,
+                                   r.expected.output, options_.speed);
     return r;
 }
 
--- a/policy/admission.hpp
+++ b/policy/admission.hpp
@@ -82,6 +82,13 @@
     mono_time first_token_by;
 };
 
+/// Latest time for the first token of an answer that is to meet its target and
+/// to be whole by the caller's deadline. Answers to requests that were admitted
+/// by their first token alone and ended unfinished at the deadline.
+mono_time latest_first_token(mono_time arrived, mono_time target,
+                             mono_time deadline, token_count output,
+                             const engine_speed& speed);
+
 enum class admission_verdict
 {
     dispatch,
--- a/policy/admission_forecast.cpp
+++ b/policy/admission_forecast.cpp
@@ -15,8 +15,22 @@
 /// are due to return.
 constexpr double fresh_part = 0.4;
 
+/// Of a request's time, that its output may be expected to take: a guess of the
+/// output length alone refuses no request.
+constexpr double longest_stream_part = 0.5;
+
 } // namespace
 
+mono_time latest_first_token(mono_time arrived, mono_time target,
+                             mono_time deadline, token_count output,
+                             const engine_speed& speed)
+{
+    const double streaming =
+        static_cast<double>(output.value) / speed.stream_rate();
+    const double most = longest_stream_part * seconds(deadline - arrived);
+    return std::min(target, deadline - from_seconds(std::min(streaming, most)));
+}
+
 group_load load_of_group(std::span<const engine_load> engines,
                          const engine_speed& speed, mono_time measured_at,
                          double part)
--- a/policy/work.hpp
+++ b/policy/work.hpp
@@ -41,6 +41,12 @@
     /// small chunks between decoding steps are less efficient.
     double shared_efficiency = 0.7;
 
+    /// Output tokens per second of one stream beside `max_streams` others.
+    double stream_rate() const
+    {
+        return decode_tokens_per_second / std::max(1U, max_streams);
+    }
+
     /// Prompt tokens per second of a mixed or decode engine beside decoding.
     double shared_prefill_rate() const
     {
--- a/tests/policy_admission_test.cpp
+++ b/tests/policy_admission_test.cpp
@@ -427,5 +427,40 @@
     }
 }
 
+struct first_token_case
+{
+    const char* name;
+    duration target;
+    duration deadline;
+    std::int64_t output;
+    duration expected;
+};
+
+class first_token_time : public testing::TestWithParam<first_token_case>
+{
+};
+
+// Requests were admitted whose first token came in time and whose deadline
+// passed in the middle of the answer (flood_refusals_test). One stream of the
+// engines here gives 10 tokens a second.
+TEST_P(first_token_time, leaves_time_for_the_answer)
+{
+    const first_token_case& c = GetParam();
+    engine_speed speed;
+    speed.decode_tokens_per_second = 80;
+    speed.max_streams = 8;
+    const mono_time t = latest_first_token(start_time, start_time + c.target,
+                                           start_time + c.deadline,
+                                           token_count(c.output), speed);
+    EXPECT_EQ(t - start_time, c.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    requests, first_token_time,
+    testing::Values(first_token_case{"by_target", 1s, 9s, 20, 1s},
+                    first_token_case{"by_deadline", 60s, 5s, 20, 3s},
+                    first_token_case{"long_output", 60s, 5s, 4000, 2500ms}),
+    [](const auto& it) { return it.param.name; });
+
 } // namespace
 } // namespace poplar::policy
