--- a/ctl/commands.hpp
+++ b/ctl/commands.hpp
@@ -16,5 +16,6 @@
 exit_code run_drain(const options& o, store::object_store& store);
 exit_code run_status(const options& o, store::object_store& store);
 exit_code run_explain(const options& o);
+exit_code run_losses(const options& o);
 
 } // namespace poplar::ctl
--- a/ctl/explain.cpp
+++ b/ctl/explain.cpp
@@ -1,4 +1,5 @@
 #include "ctl/commands.hpp"
+#include "ctl/gateway_log.hpp"
 #include "ctl/output.hpp"
 #include "net/http_client.hpp"
 #include "store/api_json.hpp"
@@ -137,10 +138,49 @@
     return is_whole ? exit_code::not_found : exit_code::unreachable;
 }
 
+/// Fields of a record that have no column of their own.
+std::string details_of(const json& record)
+{
+    std::string text;
+    for (const auto& [name, value] : record.items())
+        if (name != "time" && name != "level" && name != "event" &&
+            name != "name" && name != "program" && name != "request")
+            text += (text.empty() ? "" : " ") + name + "=" +
+                    text_field(record, name.c_str());
+    return text;
+}
+
+exit_code explain_from_logs(const options& o)
+{
+    std::vector<json> records;
+    const log_counts n =
+        read_logs(o.logs,
+                  [&](const json& it)
+                  {
+                      if (text_field(it, "request") == o.request)
+                          records.push_back(it);
+                  });
+    if (n.others > 0)
+        std::cerr << n.others << " lines hold no record\n";
+    std::ranges::stable_sort(
+        records, {}, [](const json& it) { return text_field(it, "time"); });
+    table t({"TIME", "EVENT", "NAME", "DETAILS"});
+    for (const json& it : records)
+        t.add({text_field(it, "time"), text_field(it, "event"),
+               text_field(it, "name"), details_of(it)});
+    if (o.json)
+        print_json({{"records", records}});
+    else
+        std::cout << t.text();
+    return records.empty() ? exit_code::not_found : exit_code::success;
+}
+
 } // namespace
 
 exit_code run_explain(const options& o)
 {
+    if (!o.logs.empty())
+        return explain_from_logs(o);
     net::http_client client;
     std::vector<entry_answer> answers;
     answers.reserve(o.entries.size());
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -33,6 +33,7 @@
         return run_drain(o, *store);
     case command::check:
     case command::explain:
+    case command::losses:
         break;
     }
     return exit_code::failure;
@@ -44,6 +45,8 @@
         return run_check(o);
     if (o.what == command::explain)
         return run_explain(o);
+    if (o.what == command::losses)
+        return run_losses(o);
     return run_with_store(o);
 }
 
--- a/ctl/options.cpp
+++ b/ctl/options.cpp
@@ -23,7 +23,7 @@
     const char* description;
 };
 
-constexpr std::array<subcommand, 8> subcommands{{
+constexpr std::array<subcommand, 9> subcommands{{
     {command::apply, "apply",
      "Checks a sheet and publishes it. Refuses when another generation than "
      "the one given by --base, or by the first line of an exported sheet, is "
@@ -43,7 +43,10 @@
      "Removes instances from the drained list of the current sheet."},
     {command::explain, "explain",
      "Prints the decisions that entries recorded about an instance or a "
-     "request, with their reasons."},
+     "request, or what the logs of gateways hold about a request."},
+    {command::losses, "losses",
+     "Counts the requests in the logs of gateways by kind: answered in time, "
+     "late or not at all, and why."},
 }};
 
 /// Value of an environment variable, empty when absent.
@@ -102,7 +105,7 @@
 
     bool needs_platform() const
     {
-        return !is_any({command::check, command::explain});
+        return !is_any({command::check, command::explain, command::losses});
     }
 
     bool needs_operator() const
@@ -148,12 +151,18 @@
     {
         if (is_any({command::drain, command::undrain}))
             instances_.emplace("instance", "instances", true, "INSTANCE", cmd_);
+        if (is_any({command::explain, command::losses}))
+            logs_.emplace("l", "log",
+                          "log of a gateway, - for standard input; repeatable",
+                          is_any({command::losses}), "FILE", cmd_);
         if (!is_any({command::explain}))
             return;
-        request_.emplace("r", "request", "id of a request (Poplar-Request-Id)",
+        request_.emplace("r", "request",
+                         "id of a request: Poplar-Request-Id of an entry's "
+                         "answer, or as in the log of a gateway",
                          false, "", "ID", cmd_);
         entries_.emplace("", "entry", "admin address of an entry; repeatable",
-                         true, "IP:PORT", cmd_);
+                         false, "IP:PORT", cmd_);
         instance_.emplace("instance", "instance", false, "", "INSTANCE", cmd_);
     }
 
@@ -186,6 +195,8 @@
         if (instances_)
             for (const std::string& it : instances_->getValue())
                 o.instances.push_back(read_instance(it));
+        if (logs_)
+            o.logs = logs_->getValue();
         if (!entries_)
             return;
         for (const std::string& it : entries_->getValue())
@@ -195,7 +206,11 @@
             o.instances.push_back(read_instance(instance_->getValue()));
         if (o.request.empty() == o.instances.empty())
             throw usage_error("give either INSTANCE or --request ID");
-        if (!o.request.empty())
+        if (o.entries.empty() == o.logs.empty())
+            throw usage_error("give either --entry or --log");
+        if (!o.logs.empty() && o.request.empty())
+            throw usage_error("--log needs --request ID");
+        if (o.logs.empty() && !o.request.empty())
             parse_request_id(o.request);
     }
 
@@ -220,6 +235,7 @@
     std::optional<TCLAP::UnlabeledMultiArg<std::string>> instances_;
     std::optional<text_argument> request_;
     std::optional<TCLAP::MultiArg<std::string>> entries_;
+    std::optional<TCLAP::MultiArg<std::string>> logs_;
     std::optional<plain_argument> instance_;
 };
 
--- a/ctl/options.hpp
+++ b/ctl/options.hpp
@@ -21,7 +21,8 @@
     status,
     drain,
     undrain,
-    explain
+    explain,
+    losses
 };
 
 /// Values that the subcommand does not have stay empty.
@@ -37,6 +38,7 @@
     std::vector<instance_id> instances;
     std::string request;
     std::vector<ip_address> entries;
+    std::vector<std::string> logs; ///< Files; "-": standard input.
 };
 
 /// A wrong command line.
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -376,6 +376,7 @@
          {"prompt_read_ms", to_milliseconds(prompt_read_after_)},
          {"first_event_ms", to_milliseconds(first_event_after_)},
          {"taken_ms", to_milliseconds(taken)},
+         {"target_ms", route_ ? to_milliseconds(route_->target) : 0},
          {"configuration", routing_ ? routing_->config.version.value : 0}});
 }
 
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -29,6 +29,14 @@
 constexpr int patience_in_targets = 4;
 constexpr int patience_in_pauses = 8;
 
+/// Whether an engine has taken a reading that failed. One that resets the
+/// connection has not begun with the prompt or has ended.
+bool was_taken(try_result reading)
+{
+    return reading == try_result::answered_error ||
+           reading == try_result::stalled || reading == try_result::timed_out;
+}
+
 asio::awaitable<void> release_kv(upstream_ptr u, kv_handle kv, attempt_id id)
 {
     call_request request;
@@ -152,7 +160,7 @@
                   {"left_ms", to_milliseconds(time_left())}});
     failed_at_.push_back(u->record.id);
     ++history_.tries;
-    if (result != try_result::not_sent && result != try_result::not_run)
+    if (was_taken(result))
         ++history_.readings;
     co_return kv_handle{};
 }
--- a/gateway/retry_rules.hpp
+++ b/gateway/retry_rules.hpp
@@ -33,8 +33,8 @@
     unsigned runs = 0;          ///< Tries that may have run, this one included.
     unsigned tries = 0;         ///< All, this one included.
     unsigned most_runs = 1;
-    /// Calls that only read the prompt and may have been taken. The first does
-    /// not count against the most runs, further ones do.
+    /// Calls that only read the prompt and were taken. The first does not count
+    /// against the most runs, further ones do.
     unsigned readings = 0;
     bool has_time = true; ///< Another try could end before the deadline.
 };
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -129,6 +129,11 @@
         usage_case{
             {"drain", "a", "--platform", "127.0.0.1:1"}, usage, "--operator"},
         usage_case{{"explain", "--entry", "127.0.0.1:1"}, usage, "either"},
+        usage_case{{"explain", "-r", "x"}, usage, "either --entry or --log"},
+        usage_case{{"explain", "a", "--log", "-"}, usage, "--request"},
+        usage_case{{"losses", "--help"}, success, "--log"},
+        usage_case{{"losses"}, usage, "log"},
+        usage_case{{"losses", "--log", "/no/such"}, 1, "cannot open"},
         usage_case{
             {"explain", "--entry", "127.0.0.1:1", "-r", "x"}, usage, "hex"},
         usage_case{{"explain", "--entry", "127.0.0.1:1", "a"},
@@ -293,6 +298,27 @@
     EXPECT_EQ(j.at("instances").at(0).at("instance"), "writer-1");
 }
 
+TEST(poplarctl_alone, reads_the_logs_of_gateways)
+{
+    const scratch_folder folder;
+    const std::string log = write(
+        folder, "log",
+        "n1 {\"event\":906,\"name\":\"gateway_try_failed\",\"time\":\"1\","
+        "\"request\":\"a\",\"failure\":\"reset\"}\n"
+        "{\"event\":907,\"name\":\"gateway_request_ended\",\"time\":\"2\","
+        "\"request\":\"a\",\"service\":\"writers\",\"priority\":\"0\","
+        "\"outcome\":\"failed: lost\"}\n");
+    const command_result losses = run({"losses", "--log", log});
+    EXPECT_EQ(losses.exit_code, success);
+    EXPECT_TRUE(contains(losses.output, "lost 1")) << losses.output;
+    const command_result one = run({"explain", "-r", "a", "--log", log});
+    EXPECT_EQ(one.exit_code, success);
+    EXPECT_TRUE(contains(one.output, "failure=reset")) << one.output;
+    EXPECT_EQ(run({"explain", "-r", "b", "--log", log}).exit_code, not_found);
+    const std::string other = write(folder, "other", "no record\n");
+    EXPECT_EQ(run({"losses", "--log", other}).exit_code, not_found);
+}
+
 TEST(poplarctl_alone, explain_prints_the_decisions_of_each_entry)
 {
     const std::string id = "0123456789abcdef0123456789abcdef";
