Review: stalled before connected, log events at exit, wording

A call that was given up as stalled before its connection stood went on and would have named any later fault "stalled"; it now counts as not sent. The table of log events is made before the exit handler that ends the log queue, which reads it when lines were dropped.

--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -149,6 +149,8 @@
     if (is_canceled_)
         co_return call_status::canceled;
     failure_ = ec;
+    if (is_stalled_)
+        co_return call_status::not_connected;
     co_return ec ? call_status::not_connected : call_status::ok;
 }
 
--- a/observe/log.cpp
+++ b/observe/log.cpp
@@ -135,6 +135,9 @@
 
 void add_standard_output()
 {
+    // Made before the exit handler, so that it outlives the queue, which may
+    // report dropped lines at its end.
+    describe(event::log_lines_dropped);
     using sink = boost::log::sinks::unlocked_sink<queue_backend>;
     boost::log::core::get()->add_sink(boost::make_shared<sink>());
     // Ends the queue's thread, and so writes what is queued.
--- a/policy/overtaking.hpp
+++ b/policy/overtaking.hpp
@@ -1,9 +1,9 @@
 /// Finds requests that an upstream has taken and does not work on.
 ///
 /// Answers to upstreams that never answer part of what they take. An upstream
-/// works on requests in order of priority and arrival, so one that several
-/// later requests have overtaken is taken for stalled; time alone does not
-/// tell, since waits near capacity have long tails.
+/// works on requests in order of priority and arrival, so one that waits for a
+/// while and is overtaken by a later one is taken for stalled; time alone does
+/// not tell, since waits near capacity have long tails.
 #pragma once
 
 #include "base/time.hpp"
@@ -23,8 +23,8 @@
     duration shortest{std::chrono::milliseconds(400)};
 };
 
-/// Open requests of one kind at one upstream. A request that is overtaken is
-/// reported with each further answer; the hook must not begin or end requests.
+/// Open requests of one kind at one upstream. A stalled request is reported
+/// again with each further answer; the hook must not begin or end requests.
 class overtaking
 {
 public:
@@ -40,6 +40,7 @@
 
     explicit overtaking(const overtaking_settings& settings = {});
 
+    /// `rank` 0 is the most urgent.
     place begin(std::size_t rank, mono_time now, hook on_overtaken);
     /// Its answer began; earlier requests of the same or a higher urgency have
     /// been overtaken.
