--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -177,7 +177,15 @@
     exchange e(state_, std::move(request), *this);
     exchange_ = &e;
     watch_caller();
-    co_await e.run();
+    try
+    {
+        co_await e.run();
+    }
+    catch (const std::exception& ec)
+    {
+        observe::log(event::gateway_request_aborted, {{"reason", ec.what()}});
+        abort();
+    }
     exchange_ = nullptr;
     ++watch_;
     error_code ec;
--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -204,7 +204,14 @@
     const net::client_result result = client_.fetch(std::move(request));
     if (result.failure != net::client_failure::none ||
         result.response.status != 200)
+    {
+        observe::log(event::gateway_order_failed,
+                     {{"upstream", engine.id.value},
+                      {"reason", "no report"},
+                      {"failure", to_string(result.failure)},
+                      {"status", result.response.status}});
         return std::nullopt;
+    }
     try
     {
         const auto report = platform::decode_report(result.response.body);
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -91,6 +91,7 @@
     /// Has the prompt read; empty when it could not be.
     asio::awaitable<kv_handle>
     read_prompt(upstream_ptr u, const policy::placement_choice& choice);
+    kv_handle take_reading(upstream& u, plain_answer a);
     void release(const kv_handle& kv);
     policy::placed_load reading_load(token_count tokens) const;
     /// Records here and at the other gateways what the engine reads.
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -37,6 +37,21 @@
            reading == try_result::stalled || reading == try_result::timed_out;
 }
 
+/// Empty when the answer to a reading names no handle.
+kv_handle handle_of(const std::string& body, const ip_address& source,
+                    std::string& failure)
+{
+    try
+    {
+        return platform::decode_prefill(body, source);
+    }
+    catch (const parse_error& ec)
+    {
+        failure = ec.what();
+        return {};
+    }
+}
+
 asio::awaitable<void> release_kv(upstream_ptr u, kv_handle kv, attempt_id id)
 {
     call_request request;
@@ -132,37 +147,51 @@
     if (choice.source)
         options.fetch_from = fleet_->members[*choice.source]->record.address;
     const mono_time began = now();
-    const plain_answer a = co_await try_plain(u, std::move(options));
+    plain_answer a = co_await try_plain(u, std::move(options));
     const double taken = policy::seconds(now() - began);
     fleet_->placement.correction().add(policy::load_rank(route_->priority),
                                        choice.wait_seconds,
                                        taken - choice.read_seconds);
     if (caller_left_)
         co_return kv_handle{};
-    const try_result result = judge(a);
-    record_health(result, *u);
+    kv_handle kv = take_reading(*u, std::move(a));
+    if (!kv.empty() && was_free)
+        fleet_->placement.read_rate().add(choice.uncached, taken);
+    co_return kv;
+}
+
+/// Empty when the engine's answer is of no use; another is to read then.
+kv_handle exchange::take_reading(upstream& u, plain_answer a)
+{
+    try_result result = judge(a);
+    kv_handle kv;
     if (result == try_result::answered && a.info.status == 200)
     {
         ++history_.readings;
-        note_parts(*u, duration{});
+        kv = handle_of(a.body, u.record.address, a.failure);
+        if (kv.empty())
+            result = try_result::lost;
+    }
+    else if (was_taken(result))
+        ++history_.readings;
+    record_health(result, u);
+    if (!kv.empty())
+    {
+        note_parts(u, duration{});
         prompt_read_after_ = now() - request_.received;
-        if (was_free)
-            fleet_->placement.read_rate().add(choice.uncached, taken);
-        co_return platform::decode_prefill(a.body, u->record.address);
+        return kv;
     }
     observe::log(event::gateway_try_failed,
                  {{"request", info_.id.value},
-                  {"upstream", u->record.id.value},
+                  {"upstream", u.record.id.value},
                   {"result", to_string(result)},
                   {"failure", a.failure},
                   {"call", "prefill"},
                   {"status", a.info.status},
                   {"left_ms", to_milliseconds(time_left())}});
-    failed_at_.push_back(u->record.id);
+    failed_at_.push_back(u.record.id);
     ++history_.tries;
-    if (was_taken(result))
-        ++history_.readings;
-    co_return kv_handle{};
+    return kv;
 }
 
 policy::placed_load exchange::reading_load(token_count tokens) const
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -29,8 +29,6 @@
 constexpr duration cache_list_limit = std::chrono::seconds(1);
 constexpr std::size_t max_cache_list = std::size_t(1) << 20; // bytes
 constexpr duration sweep_interval = std::chrono::milliseconds(250);
-/// Pause after a failed accept, for example for want of descriptors.
-constexpr duration accept_pause = std::chrono::milliseconds(50);
 constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// Closed sessions end as soon as the loop has run their handlers.
 constexpr duration close_limit = std::chrono::milliseconds(300);
@@ -247,7 +245,12 @@
     if (status == call_status::ok)
         status = co_await call.read_all(body, max_cache_list);
     if (status != call_status::ok || call.info().status != 200)
+    {
+        observe::log(
+            event::gateway_cache_not_learned,
+            {{"upstream", u->record.id.value}, {"reason", to_string(status)}});
         co_return;
+    }
     try
     {
         std::vector<policy::cached_part> parts;
@@ -260,7 +263,7 @@
     }
     catch (const parse_error& ec)
     {
-        observe::log(event::gateway_upstream_refused,
+        observe::log(event::gateway_cache_not_learned,
                      {{"upstream", u->record.id.value}, {"reason", ec.what()}});
     }
 }
@@ -317,12 +320,8 @@
                            asio::detached);
             continue;
         }
-        observe::log(event::gateway_accept_failed,
-                     {{"reason", ec ? ec.message() : "too many callers"},
-                      {"callers", sessions_.size()}});
-        asio::steady_timer pause(loop_, accept_pause);
-        co_await pause.async_wait(
-            asio::redirect_error(asio::use_awaitable, ec));
+        co_await pause_accepting(loop_.get_executor(),
+                                 ec ? ec.message() : "too many callers");
     }
 }
 
--- a/gateway/status_server.cpp
+++ b/gateway/status_server.cpp
@@ -1,10 +1,12 @@
 #include "gateway/status_server.hpp"
 
 #include "base/error.hpp"
+#include "observe/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -22,6 +24,8 @@
 
 /// For one request, and for the pause before the next.
 constexpr duration idle_limit = std::chrono::seconds(10);
+/// Pause after a failed accept, for example for want of descriptors.
+constexpr duration accept_pause = std::chrono::milliseconds(50);
 
 asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket,
                                        const status_handler& handler)
@@ -78,6 +82,15 @@
     return {at.address().to_string(), at.port()};
 }
 
+asio::awaitable<void> pause_accepting(asio::any_io_executor executor,
+                                      const std::string& reason)
+{
+    observe::log(observe::event::gateway_accept_failed, {{"reason", reason}});
+    asio::steady_timer pause(executor, accept_pause);
+    error_code ec;
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
 asio::awaitable<void> serve_status(asio::ip::tcp::acceptor& acceptor,
                                    const status_handler& handler)
 {
@@ -87,7 +100,10 @@
         asio::ip::tcp::socket socket = co_await acceptor.async_accept(
             asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
+        {
+            co_await pause_accepting(acceptor.get_executor(), ec.message());
             continue;
+        }
         asio::co_spawn(acceptor.get_executor(),
                        serve_connection(std::move(socket), handler),
                        asio::detached);
--- a/gateway/status_server.hpp
+++ b/gateway/status_server.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/connections.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <string>
@@ -25,6 +26,11 @@
                                   const ip_address& address);
 ip_address address_of(const asio::ip::tcp::acceptor& acceptor);
 
+/// Logs that a connection could not be accepted, and waits a little: the next
+/// accept may fail at once for the same reason.
+asio::awaitable<void> pause_accepting(asio::any_io_executor executor,
+                                      const std::string& reason);
+
 /// Serves until the loop ends. `acceptor` and `handler` must outlive it.
 asio::awaitable<void> serve_status(asio::ip::tcp::acceptor& acceptor,
                                    const status_handler& handler);
--- a/tests/platform/edge_fuzz_test.cpp
+++ b/tests/platform/edge_fuzz_test.cpp
@@ -204,5 +204,38 @@
     }
 }
 
+TEST_F(edge_fuzz, bytes_of_engines_leave_no_caller_without_an_answer)
+{
+    const auto readings = corpus("readings");
+    const auto streams = corpus("streams");
+    std::atomic<std::uint64_t> seed = 0;
+    scripted_upstream sound(sound_answer);
+    const auto script = [&](const std::string& head) -> scripted_answer
+    {
+        const bool reads = field_of(head, "Serving-Stage") == "prefill";
+        return {.bytes = mutator(seed).draw(reads ? readings : streams),
+                .closes = true};
+    };
+    scripted_upstream reader(script);
+    scripted_upstream runner(script);
+    add_upstream("i-1", reader.address(), "writers", "prefill");
+    add_upstream("i-2", runner.address(), "writers", "decode");
+    start_with_sound_service(sound.address());
+    for (const std::uint64_t it : seeds())
+    {
+        seed = it;
+        scripted_caller c(gateway_->address());
+        c.send(request("/stream/x", "f1",
+                       "Model: m\r\nToken-Count: 9000,20\r\n"
+                       "Connection: close\r\nPrompt-Prefix: aa" +
+                           std::to_string(it) + ":9000\r\n"));
+        const std::string answer = c.read_until("nothing ends it", seconds(3));
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 ")) << "seed " << it;
+        EXPECT_TRUE(c.is_closed()) << "seed " << it;
+        if (it % 10 == 0)
+            expect_service(it);
+    }
+}
+
 } // namespace
 } // namespace poplar::gateway
--- a/tests/platform/gateway_streams_test.cpp
+++ b/tests/platform/gateway_streams_test.cpp
@@ -133,6 +133,57 @@
                     stalled_engine_case{"whole_run", "decode"}),
     [](const auto& it) { return it.param.name; });
 
+struct reading_case
+{
+    const char* name;
+    const char* body; ///< Of the first answer to a reading.
+};
+
+class spoilt_reading : public gateway_test,
+                       public testing::WithParamInterface<reading_case>
+{
+};
+
+// An answer of a prefill engine that cannot be read ended the session's work
+// without an answer to its caller.
+TEST_P(spoilt_reading, is_repeated_at_another_engine)
+{
+    std::atomic<unsigned> readings = 0;
+    const auto script = [&](const std::string& head) -> scripted_answer
+    {
+        const std::string id = field_of(head, "Attempt-Id");
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        if (field_of(head, "Serving-Stage") != "prefill")
+            return {stream_head(id) + chunk("id: 1\n\n") + "0\r\n\r\n"};
+        return {whole_answer(200, id,
+                             readings++ == 0 ? GetParam().body
+                                             : R"({"kvHandle":"h"})")};
+    };
+    scripted_upstream a(script);
+    scripted_upstream b(script);
+    scripted_upstream runner(script);
+    add_upstream("i-1", a.address(), "writers", "prefill");
+    add_upstream("i-2", b.address(), "writers", "prefill");
+    add_upstream("i-3", runner.address(), "writers", "decode");
+    start();
+    const std::string answer =
+        fetch(request("/stream/x", "1",
+                      "Model: m\r\nToken-Count: 17000,20\r\n"
+                      "Prompt-Prefix: aa:13000,bb:4000\r\n"),
+              "0\r\n\r\n");
+    EXPECT_EQ(status_of(answer), "200");
+    EXPECT_EQ(readings, 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    bodies, spoilt_reading,
+    testing::Values(reading_case{"cut", R"({"kvHa)"},
+                    reading_case{"no_handle", "{}"},
+                    reading_case{"empty_handle", R"({"kvHandle":""})"},
+                    reading_case{"other_type", R"({"kvHandle":[1]})"}),
+    [](const auto& it) { return it.param.name; });
+
 // An event without an end was kept in memory until the deadline.
 TEST_F(gateway_test, breaks_off_a_stream_with_an_endless_event)
 {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -84,6 +84,16 @@
         malformed_case{"deadline_tail", "Deadline-Ms", "5ms", has_deadline},
         malformed_case{"one_count", "Token-Count", "1460", has_work},
         malformed_case{"no_count", "Token-Count", "a,b", has_work},
+        malformed_case{"endless_deadline", "Deadline-Ms", "inf", has_deadline},
+        malformed_case{"no_number", "Deadline-Ms", "nan", has_deadline},
+        malformed_case{"huge_deadline", "Deadline-Ms", "1e300", has_deadline},
+        malformed_case{"negative_input", "Token-Count", "-5,20", has_work},
+        malformed_case{"negative_output", "Token-Count", "5,-20", has_work},
+        malformed_case{"huge_input", "Token-Count", "9223372036854775807,1",
+                       has_work},
+        malformed_case{"negative_part", "Prompt-Prefix", "aa:-5", has_parts},
+        malformed_case{"huge_part", "Prompt-Prefix", "aa:9223372036854775807",
+                       has_parts},
         malformed_case{"no_tokens", "Prompt-Prefix", "5c1e", has_parts},
         malformed_case{"text_tokens", "Prompt-Prefix", "5c1e:x", has_parts},
         malformed_case{"event_id", "Last-Event-Id", "-", has_event}),
@@ -175,6 +185,13 @@
                     answer_case{"leaves", 200, "Connection", "close", false}),
     [](const auto& it) { return it.param.name; });
 
+TEST(decode_answer, ignores_an_idle_limit_out_of_range)
+{
+    answer_head h;
+    h.set("Keep-Alive", "timeout=9223372036854775807");
+    EXPECT_FALSE(decode_answer(h).keep_alive.has_value());
+}
+
 TEST(decode_answer, reads_the_idle_limit)
 {
     answer_head h;
