Gateway: a prompt's own part counts as kept once it has been read

Cause: parts were recorded as kept, here and at the other gateways, when the prompt was sent. When its reading failed or its caller left, the caller's repeat went to that engine, or fetched from it what it never had. An estimate error hid it in part: an idle engine that keeps a whole prompt was taken for one that keeps nothing. Ruled out: noise. Change: the last part of a prompt is recorded when the reading, or the first event, has come; the estimate tells "nothing considered" from zero seconds. Both tests fail without the change.

--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -95,7 +95,9 @@
     void release(const kv_handle& kv);
     policy::placed_load reading_load(token_count tokens) const;
     /// Records here and at the other gateways what the engine reads.
-    void note_parts(upstream& u, duration ready_in);
+    void note_parts(upstream& u, std::span<const policy::cached_part> parts,
+                    duration ready_in);
+    void note_shared_parts(upstream& u, duration ready_in);
     /// Waits until parts that the plan uses have been read.
     asio::awaitable<void> hold(double seconds);
 
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -141,7 +141,7 @@
     const bool was_free = u->placed.own.runs + u->placed.others.runs == 0;
     placed_work work(u, reading_load(choice.uncached));
     placed_work call(u, {.runs = 1});
-    note_parts(*u, policy::from_seconds(choice.total_seconds));
+    note_shared_parts(*u, policy::from_seconds(choice.total_seconds));
     send_options options = options_for(*u);
     options.prefill_only = true;
     if (choice.source)
@@ -177,7 +177,7 @@
     record_health(result, u);
     if (!kv.empty())
     {
-        note_parts(u, duration{});
+        note_parts(u, parts_, duration{});
         prompt_read_after_ = now() - request_.received;
         return kv;
     }
@@ -201,12 +201,20 @@
     return load;
 }
 
-/// Also the last part, which belongs to this request alone: it displaces others
-/// from the engine's memory.
-void exchange::note_parts(upstream& u, duration ready_in)
+/// The last part, which belongs to this request alone, is recorded when it has
+/// been read: a caller's repeat would go to an engine that never did.
+void exchange::note_shared_parts(upstream& u, duration ready_in)
 {
-    u.placed.cache.add(parts_, now() + ready_in);
-    state_.loads.add_parts(u, parts_, ready_in);
+    if (!parts_.empty())
+        note_parts(u, std::span(parts_).first(parts_.size() - 1), ready_in);
+}
+
+void exchange::note_parts(upstream& u,
+                          std::span<const policy::cached_part> parts,
+                          duration ready_in)
+{
+    u.placed.cache.add(parts, now() + ready_in);
+    state_.loads.add_parts(u, parts, ready_in);
 }
 
 asio::awaitable<void> exchange::hold(double seconds)
@@ -321,11 +329,13 @@
     placed_work running(
         run.runner,
         {.kept = info_.work->input + info_.work->output, .runs = 1});
-    note_parts(*run.runner, run.reader
-                                ? duration{}
-                                : policy::from_seconds(decode.total_seconds));
+    note_shared_parts(*run.runner,
+                      run.reader ? duration{}
+                                 : policy::from_seconds(decode.total_seconds));
     stream_end end =
         co_await try_stream(run.runner, std::move(options), reading);
+    if (answer_begun_)
+        note_parts(*run.runner, parts_, duration{});
     if (caller_left_)
         co_return loop_step::again;
     const next_step step = next(end.result, run.runner, end.answer.failure);
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -174,6 +174,7 @@
     c.engine = i;
     c.wait_seconds =
         double(load_of(*engines[i]).reading_before(request.rank).value) / rate;
+    bool is_set = false;
     const auto consider =
         [&](std::optional<std::size_t> source, token_count fetched, double move)
     {
@@ -184,10 +185,10 @@
         const token_count uncached = request.input - kept[i].tokens - fetched;
         const double read = move + double(uncached.value) / rate;
         const double total = std::max(hold, c.wait_seconds) + read;
-        const bool is_first = c.total_seconds == 0;
         if (hold > settings_.longest_hold_seconds ||
-            (!is_first && total >= c.total_seconds))
+            (is_set && total >= c.total_seconds))
             return;
+        is_set = true;
         c.source = source;
         c.fetched = fetched;
         c.uncached = uncached;
@@ -202,7 +203,7 @@
         if (engines[k]->usable && more >= settings_.shortest_fetch)
             consider(k, more, move_seconds(more, *engines[k], *engines[i]));
     }
-    if (c.total_seconds > 0)
+    if (is_set)
         return c;
     // What this engine is reading is too far from ready to wait for.
     c.uncached = request.input;
--- a/tests/platform/gateway_streams_test.cpp
+++ b/tests/platform/gateway_streams_test.cpp
@@ -184,6 +184,54 @@
                     reading_case{"other_type", R"({"kvHandle":[1]})"}),
     [](const auto& it) { return it.param.name; });
 
+// A caller's repeat was sent after KV cache that its first attempt never left:
+// the parts of a prompt counted as kept from the moment it was sent.
+TEST_F(gateway_test, fetches_nothing_that_was_never_read)
+{
+    scripted_upstream busy(
+        [](const std::string& head) -> scripted_answer
+        {
+            if (head.starts_with("GET /kv-list"))
+                return {whole_answer(404, "", "")};
+            return {.bytes = "late", .delay = seconds(5)};
+        });
+    const auto script = [](const std::string& head) -> scripted_answer
+    {
+        const std::string id = field_of(head, "Attempt-Id");
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        if (field_of(head, "Serving-Stage") == "prefill")
+            return {whole_answer(200, id, R"({"kvHandle":"h"})")};
+        return {stream_head(id) + chunk("id: 1\n\n") + "0\r\n\r\n"};
+    };
+    scripted_upstream idle(script);
+    scripted_upstream runner(script);
+    const auto prompt = [](const char* id, const char* part)
+    {
+        return request("/stream/x", id,
+                       "Model: m\r\nToken-Count: 9000,20\r\nPrompt-Prefix: " +
+                           std::string(part) + ":9000\r\n");
+    };
+    add_upstream("i-1", busy.address(), "writers", "prefill");
+    add_upstream("i-3", runner.address(), "writers", "decode");
+    start();
+    scripted_caller first(gateway_->address());
+    first.send(prompt("1", "aa"));
+    scripted_caller other(gateway_->address());
+    other.send(prompt("2", "bb"));
+    std::this_thread::sleep_for(milliseconds(300));
+    first.close();
+    add_upstream("i-2", idle.address(), "writers", "prefill");
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(status_of(fetch(prompt("3", "aa"), "0\r\n\r\n")), "200");
+    const auto heads = idle.heads();
+    const auto reading = std::ranges::find_if(
+        heads, [](const std::string& it)
+        { return field_of(it, "Serving-Stage") == "prefill"; });
+    ASSERT_NE(reading, heads.end());
+    EXPECT_EQ(field_of(*reading, "Kv-Fetch"), "");
+}
+
 // An event without an end was kept in memory until the deadline.
 TEST_F(gateway_test, breaks_off_a_stream_with_an_endless_event)
 {
--- a/tests/policy_placement_test.cpp
+++ b/tests/policy_placement_test.cpp
@@ -70,6 +70,23 @@
 
 const mono_time long_ago{};
 
+// An idle engine that keeps the whole prompt took as long by the estimate as
+// one that keeps nothing, so that a resumed stream read its prompt again.
+TEST(engine_placement, prefers_the_engine_that_keeps_the_whole_prompt)
+{
+    engines all;
+    const sample_request r;
+    for (const char* id : {"a", "b", "c", "d"})
+        all.add(id, placed_stage::prefill);
+    all.add("keeping", placed_stage::prefill).cache.add(r.parts, long_ago);
+    const auto c =
+        engine_placement().choose_prefill(all.view(), r.request(), {});
+    ASSERT_TRUE(c);
+    EXPECT_EQ(all.view()[c->engine]->id, "keeping");
+    EXPECT_EQ(c->uncached, token_count(0));
+    EXPECT_EQ(c->total_seconds, 0);
+}
+
 TEST(engine_placement, prefers_the_engine_that_keeps_the_shared_part)
 {
     engines all;
