--- a/entry/adaptive_policy.cpp
+++ b/entry/adaptive_policy.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.hpp"
 #include "control/wire_types.hpp"
+#include "entry/admission_answers.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
@@ -14,47 +15,9 @@
 namespace
 {
 
-/// Lifts requests on their rank's guaranteed share above all others at the
-/// engine, whatever priorities the sheet gives.
-constexpr int guaranteed_priority = 1000;
-
 /// Agents report a changed load at least this often.
 constexpr duration report_interval = std::chrono::milliseconds(500);
 
-std::string to_text(policy::refusal_cause cause)
-{
-    switch (cause)
-    {
-    case policy::refusal_cause::none:
-        return "none";
-    case policy::refusal_cause::no_capacity:
-        return "no engine of the group takes work";
-    case policy::refusal_cause::too_long:
-        return "the prompt alone takes longer than the target";
-    case policy::refusal_cause::prompt_backlog:
-        return "the prompt would be computed too late";
-    case policy::refusal_cause::stream_backlog:
-        return "no stream slot becomes free in time";
-    case policy::refusal_cause::target_passed:
-        return "its target passed while it was queued";
-    }
-    return "none";
-}
-
-verdict to_verdict(policy::admission_verdict v)
-{
-    switch (v)
-    {
-    case policy::admission_verdict::dispatch:
-        return verdict::dispatch;
-    case policy::admission_verdict::queued:
-        return verdict::queued;
-    case policy::admission_verdict::refused:
-        return verdict::refused;
-    }
-    return verdict::refused;
-}
-
 policy::route_kind to_kind(leg_kind leg)
 {
     switch (leg)
@@ -69,29 +32,6 @@
     return policy::route_kind::whole;
 }
 
-std::string figures_of(const policy::admission_request& r,
-                       const policy::admission_decision& d)
-{
-    return "prompt " + std::to_string(r.expected.prompt.value) +
-           " expected output " + std::to_string(r.expected.output.value) +
-           " tokens; wait " + std::to_string(to_milliseconds(d.expected_wait)) +
-           " ms; " + to_text(d.cause);
-}
-
-admission_answer to_answer(const policy::admission_request& r,
-                           const policy::admission_decision& d)
-{
-    admission_answer a;
-    a.id = r.id;
-    a.what = to_verdict(d.verdict);
-    a.retry_after = d.retry_after;
-    a.figures = figures_of(r, d);
-    a.priority_boost = d.guaranteed ? guaranteed_priority : 0;
-    a.split = d.split;
-    a.expected_output = r.expected.output;
-    return a;
-}
-
 class adaptive_policy : public dispatch_policy
 {
 public:
--- /dev/null
+++ b/entry/admission_answers.hpp
@@ -0,0 +1,14 @@
+/// Decisions of the admission as answers of the dispatch policy, with the text
+/// of their figures.
+#pragma once
+
+#include "entry/dispatch_policy.hpp"
+#include "policy/admission.hpp"
+
+namespace poplar::entry
+{
+
+admission_answer to_answer(const policy::admission_request& r,
+                           const policy::admission_decision& d);
+
+} // namespace poplar::entry
--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -1,5 +1,6 @@
 #include "gateway/engine_control.hpp"
 
+#include "base/json_guard.hpp"
 #include "observe/log.hpp"
 #include "platform/wire.hpp"
 
@@ -26,12 +27,6 @@
 constexpr duration change_limit = seconds(14);
 constexpr duration call_limit = seconds(1);
 
-policy::placed_stage placed(engine_stage stage)
-{
-    return stage == engine_stage::prefill ? policy::placed_stage::prefill
-                                          : policy::placed_stage::decode;
-}
-
 engine_stage stage_of(policy::placed_stage stage)
 {
     return stage == policy::placed_stage::prefill ? engine_stage::prefill
@@ -54,15 +49,10 @@
 
 ip_address decode_registration(const std::string& value)
 {
-    try
-    {
-        return parse_ip_address(
-            nlohmann::json::parse(value).at("peer").get<std::string>());
-    }
-    catch (const nlohmann::json::exception& ec)
-    {
-        throw parse_error(ec.what());
-    }
+    return parse_ip_address(guard_json(
+        [&] {
+            return nlohmann::json::parse(value).at("peer").get<std::string>();
+        }));
 }
 
 engine_control::engine_control(store::object_store& store,
@@ -169,7 +159,7 @@
         if (pending != pending_.end() && now() < pending->second.until)
             stage = pending->second.stage;
         staged.push_back({it.record.id.value, it.record.failure_domain,
-                          placed(stage), it.runs, it.record.slots});
+                          placed_stage_of(stage), it.runs, it.record.slots});
         if (it.record.stage == engine_stage::decode)
             streams += it.runs;
     }
@@ -251,14 +241,14 @@
     const bool is_accepted =
         result.failure == net::client_failure::none &&
         (result.response.status == 200 || result.response.status == 202);
-    observe::log(
-        is_accepted ? event::gateway_order_sent : event::gateway_order_failed,
-        {{"upstream", record.id.value},
-         {"stage", stage == engine_stage::prefill ? "prefill" : "decode"},
-         {"fencing", token->value},
-         {"after_orders", *orders},
-         {"failure", to_string(result.failure)},
-         {"status", result.response.status}});
+    observe::log(is_accepted ? event::gateway_order_sent
+                             : event::gateway_order_failed,
+                 {{"upstream", record.id.value},
+                  {"stage", to_string(stage)},
+                  {"fencing", token->value},
+                  {"after_orders", *orders},
+                  {"failure", to_string(result.failure)},
+                  {"status", result.response.status}});
 }
 
 } // namespace poplar::gateway
--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -17,26 +17,6 @@
 /// the rest.
 constexpr double cached_share = 0.85;
 
-const char* name_of(engine_stage stage)
-{
-    switch (stage)
-    {
-    case engine_stage::none:
-        return "none";
-    case engine_stage::prefill:
-        return "prefill";
-    case engine_stage::decode:
-        return "decode";
-    }
-    return "none";
-}
-
-policy::placed_stage placed_stage_of(engine_stage stage)
-{
-    return stage == engine_stage::prefill ? policy::placed_stage::prefill
-                                          : policy::placed_stage::decode;
-}
-
 /// Another process runs under the id, or at another place.
 bool is_restarted(const upstream_record& before, const upstream_record& after)
 {
@@ -91,7 +71,7 @@
                  {{"upstream", record.id.value},
                   {"service", record.service.value},
                   {"address", to_string(record.address)},
-                  {"stage", name_of(record.stage)},
+                  {"stage", to_string(record.stage)},
                   {"state", u->placed.usable ? "ready" : "draining"}});
 }
 
@@ -211,6 +191,26 @@
     return it == by_key_.end() ? nullptr : it->second;
 }
 
+std::string to_string(engine_stage stage)
+{
+    switch (stage)
+    {
+    case engine_stage::none:
+        return "none";
+    case engine_stage::prefill:
+        return "prefill";
+    case engine_stage::decode:
+        return "decode";
+    }
+    return "none";
+}
+
+policy::placed_stage placed_stage_of(engine_stage stage)
+{
+    return stage == engine_stage::prefill ? policy::placed_stage::prefill
+                                          : policy::placed_stage::decode;
+}
+
 bool has_engines(const service_fleet& service)
 {
     return std::ranges::any_of(
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -103,6 +103,7 @@
     service_fleet& fleet_of(const service_id& service);
     void erase(const upstream_ptr& it);
     void set_limits(upstream& u) const;
+    bool may_lapse(mono_time now) const;
 
     asio::io_context& context_;
     fleet_settings settings_;
@@ -110,14 +111,16 @@
     std::map<upstream_id, upstream_ptr> upstreams_;
     absl::flat_hash_map<std::uint64_t, upstream_ptr> by_key_;
     std::map<service_id, service> configured_;
-    bool may_lapse(mono_time now) const;
-
     bool store_connected_ = false;
     mono_time store_lost_at_{};
     mono_time store_back_at_{};
     duration store_outage_{}; ///< Length of the last one.
 };
 
+std::string to_string(engine_stage stage);
+/// Upstreams that are no engines count as `decode`.
+policy::placed_stage placed_stage_of(engine_stage stage);
+
 /// True for a service whose upstreams are engines.
 bool has_engines(const service_fleet& service);
 
--- a/store/api_json.cpp
+++ b/store/api_json.cpp
@@ -1,5 +1,7 @@
 #include "store/api_json.hpp"
 
+#include "base/json_guard.hpp"
+
 #include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -64,20 +66,6 @@
     return o;
 }
 
-/// Runs `parse` and turns failures of the JSON library into parse_error.
-template <class Parse>
-auto guarded(Parse&& parse)
-{
-    try
-    {
-        return parse();
-    }
-    catch (const json::exception& ec)
-    {
-        throw parse_error(ec.what());
-    }
-}
-
 std::string escape(const std::string& text, const std::string& allowed)
 {
     constexpr std::array<char, 17> digits{"0123456789ABCDEF"};
@@ -100,7 +88,7 @@
 
 object_list parse_objects(const std::string& body, const std::string& member)
 {
-    return guarded(
+    return guard_json(
         [&]
         {
             const json j = json::parse(body);
@@ -114,7 +102,7 @@
 
 std::vector<instance_record> parse_instances(const std::string& body)
 {
-    return guarded(
+    return guard_json(
         [&]
         {
             const json j = json::parse(body);
@@ -140,7 +128,7 @@
 instance_record parse_instance(const instance_id& instance,
                                const std::string& body)
 {
-    return guarded(
+    return guard_json(
         [&]
         {
             auto record = record_from_json(instance, json::parse(body));
