Gateway: upstreams that leave get no new request; pauses they ask for are kept

Cause: an upstream that says in its answers that it leaves was sent requests until the store said so; a 503 with Retry-After counted as any failure, so that the next request reached the upstream at once. A changed entry ended the pause of an upstream that could not be connected to. Ruled out: telling the other gateways. A leaving upstream still serves for the drain time, so that each gateway's own first answer comes early enough, and a report that names a wrong process would take a live one out of use. Change: policy/upstream_health holds what an upstream asked for beside what its failures say; the fleet keeps it for the same process when the entry goes and comes back. The call asks again when its connection is there. Pauses are bounded at 60 s; negative ones, dates and words are logged and ignored, of two values the longer counts. Without a usable upstream callers are told the end of the shortest pause. Conclusion: holds for calls, refusals, streams and readings, in this process and while the store says otherwise.

--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -181,7 +181,8 @@
                   {"fencing", token->value}});
     planned_[service] = plan.wanted_prefill;
     for (const policy::stage_change& it : plan.changes)
-        send_order(engines[it.engine], stage_of(it.to));
+        if (engines[it.engine].may_send)
+            send_order(engines[it.engine], stage_of(it.to));
 }
 
 std::optional<std::uint64_t>
--- a/gateway/engine_control.hpp
+++ b/gateway/engine_control.hpp
@@ -18,7 +18,8 @@
 struct engine_snapshot
 {
     upstream_record record;
-    unsigned runs = 0; ///< Put there by all gateways.
+    unsigned runs = 0;    ///< Put there by all gateways.
+    bool may_send = true; ///< False while it asked for no requests.
 };
 
 struct engine_control_options
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -142,7 +142,8 @@
     return o;
 }
 
-call_request exchange::make_call(const send_options& options) const
+call_request exchange::make_call(const upstream_ptr& u,
+                                 const send_options& options) const
 {
     call_request c;
     c.head = platform::encode_request(request_.head, options);
@@ -151,13 +152,14 @@
     c.time_limit = options.time_left + answer_margin;
     if (!history_.is_repeatable && !options.prefill_only)
         c.max_idle = max_idle_once;
+    c.hooks = state_.upstreams.hooks_for(u);
     return c;
 }
 
 asio::awaitable<exchange::plain_answer>
 exchange::try_plain(upstream_ptr u, send_options options)
 {
-    upstream_call call(u->connections, make_call(options));
+    upstream_call call(u->connections, make_call(u, options));
     current_call current(call_, call);
     last_upstream_ = u->record.id.value;
     ordered_try order(options.prefill_only ? u->open_readings : u->open_calls,
@@ -254,7 +256,6 @@
         break;
     case try_result::not_sent:
         u.health.unreachable(now());
-        u.placed.usable = false;
         break;
     case try_result::answered_error:
     case try_result::lost:
@@ -264,7 +265,7 @@
         u.health.failed();
         break;
     }
-    u.placed.penalty_seconds = u.health.penalty_seconds();
+    u.update_placed(now());
 }
 
 /// Counts a try and decides what comes next.
@@ -302,7 +303,7 @@
     {
         const upstream_ptr u = choose_call_instance();
         if (!u)
-            co_return co_await refuse("no_usable_upstream");
+            co_return co_await refuse_without_upstream("no_usable_upstream");
         plain_answer a;
         {
             placed_work work(u, {.runs = 1});
@@ -351,6 +352,15 @@
     log_ended("refused: " + reason, 503);
 }
 
+asio::awaitable<void>
+exchange::refuse_without_upstream(const std::string& reason)
+{
+    const auto pause = fleet::shortest_pause(*fleet_, now());
+    if (!pause || history_.tries > 0)
+        co_return co_await refuse(reason);
+    co_await refuse(reason, std::max(shortest_retry_after, *pause));
+}
+
 asio::awaitable<void> exchange::reject(unsigned status,
                                        const std::string& reason)
 {
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -107,7 +107,8 @@
     policy::admission_decision admit(const policy::placement_plan& plan) const;
     upstream_ptr choose_call_instance();
     std::vector<std::size_t> excluded() const;
-    call_request make_call(const send_options& options) const;
+    call_request make_call(const upstream_ptr& u,
+                           const send_options& options) const;
     send_options options_for(const upstream& u) const;
     duration time_left() const;
 
@@ -127,6 +128,8 @@
     /// Says that the request has not run; fails it where it may have.
     asio::awaitable<void> refuse(const std::string& reason);
     asio::awaitable<void> refuse(const std::string& reason, duration pause);
+    /// All upstreams that this request may go to leave or are paused.
+    asio::awaitable<void> refuse_without_upstream(const std::string& reason);
     asio::awaitable<void> fail(try_result result);
     asio::awaitable<void> reject(unsigned status, const std::string& reason);
     asio::awaitable<void> deliver(plain_answer answer);
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -52,12 +52,14 @@
     }
 }
 
-asio::awaitable<void> release_kv(upstream_ptr u, kv_handle kv, attempt_id id)
+asio::awaitable<void> release_kv(upstream_ptr u, kv_handle kv, attempt_id id,
+                                 call_hooks hooks)
 {
     call_request request;
     request.head = platform::make_release(kv);
     request.body = std::make_shared<std::string>();
     request.time_limit = std::chrono::seconds(1);
+    request.hooks = std::move(hooks);
     upstream_call call(u->connections, std::move(request));
     const call_status status = co_await call.start();
     std::string body;
@@ -232,8 +234,10 @@
         return;
     for (const upstream_ptr& it : fleet_->members)
         if (it->record.address == kv.source)
-            return asio::co_spawn(state_.loop, release_kv(it, kv, info_.id),
-                                  asio::detached);
+            return asio::co_spawn(
+                state_.loop,
+                release_kv(it, kv, info_.id, state_.upstreams.hooks_for(it)),
+                asio::detached);
 }
 
 asio::awaitable<void> exchange::run_streams()
@@ -257,7 +261,7 @@
     const auto plan = plan_engines();
     if (!plan)
     {
-        co_await refuse("no_usable_engine");
+        co_await refuse_without_upstream("no_usable_engine");
         co_return loop_step::ended;
     }
     run.plan = *plan;
@@ -310,7 +314,7 @@
     if (run.runner)
         co_return loop_step::go_on;
     release(run.kv);
-    co_await refuse("no_usable_engine");
+    co_await refuse_without_upstream("no_usable_engine");
     co_return loop_step::ended;
 }
 
@@ -369,7 +373,7 @@
 asio::awaitable<exchange::stream_end>
 exchange::try_stream(upstream_ptr u, send_options options, placed_work& reading)
 {
-    upstream_call call(u->connections, make_call(options));
+    upstream_call call(u->connections, make_call(u, options));
     current_call current(call_, call);
     last_upstream_ = u->record.id.value;
     ordered_try order(options.kv.empty() ? u->open_whole_runs : u->open_runs,
--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -17,6 +17,12 @@
 /// the rest.
 constexpr double cached_share = 0.85;
 
+/// Longest pause that an upstream is granted: a mistaken field must not end the
+/// use of a service.
+constexpr duration longest_asked_pause = std::chrono::seconds(60);
+/// An entry that was removed for longer is not expected back.
+constexpr duration longest_absence = std::chrono::minutes(10);
+
 /// Another process runs under the id, or at another place.
 bool is_restarted(const upstream_record& before, const upstream_record& after)
 {
@@ -26,6 +32,13 @@
 
 } // namespace
 
+void upstream::update_placed(mono_time now)
+{
+    placed.usable =
+        record.state == upstream_state::ready && health.is_usable(now);
+    placed.penalty_seconds = health.penalty_seconds();
+}
+
 fleet::fleet(asio::io_context& context, const fleet_settings& settings)
     : context_(context), settings_(settings)
 {
@@ -56,23 +69,26 @@
         upstreams_[record.id] = u;
         by_key_[u->key] = u;
         fleet_of(record.service).members.push_back(u);
+        restore_health(*u, now());
     }
     u->record = record;
     u->lapses_at = {};
     u->placed.id = record.id.value;
     u->placed.failure_domain = record.failure_domain;
     u->placed.stage = placed_stage_of(record.stage);
-    u->placed.usable = record.state == upstream_state::ready;
     u->placed.slots = record.slots;
+    u->update_placed(now());
     set_limits(*u);
-    if (!u->placed.usable)
+    const bool is_ready = record.state == upstream_state::ready;
+    if (!is_ready)
         u->connections.close_idle();
     observe::log(event::gateway_upstream_changed,
                  {{"upstream", record.id.value},
                   {"service", record.service.value},
                   {"address", to_string(record.address)},
                   {"stage", to_string(record.stage)},
-                  {"state", u->placed.usable ? "ready" : "draining"}});
+                  {"state", is_ready ? "ready" : "draining"},
+                  {"leaving", u->health.is_leaving() ? "yes" : "no"}});
 }
 
 void fleet::remove(const upstream_id& id, mono_time now)
@@ -80,7 +96,8 @@
     const upstream_ptr u = find(id);
     if (!u)
         return;
-    const bool lapses = may_lapse(now) && u->placed.usable;
+    const bool lapses = may_lapse(now) && !u->health.is_leaving() &&
+                        u->record.state == upstream_state::ready;
     observe::log(event::gateway_upstream_removed,
                  {{"upstream", id.value}, {"lapsed", lapses ? "yes" : "no"}});
     if (!lapses)
@@ -100,6 +117,9 @@
 
 void fleet::erase(const upstream_ptr& it)
 {
+    if (!it->health.accepts_requests(now()))
+        kept_health_[it->record.id] = {it->record.started_ms, it->health,
+                                       now()};
     it->placed.usable = false;
     it->connections.close_idle();
     std::erase(fleet_of(it->record.service).members, it);
@@ -107,6 +127,97 @@
     upstreams_.erase(it->record.id);
 }
 
+void fleet::restore_health(upstream& u, mono_time now)
+{
+    const auto kept = kept_health_.find(u.record.id);
+    if (kept == kept_health_.end())
+        return;
+    // Starts are compared for equality only: a clock that was set back gives a
+    // later process an earlier start.
+    if (kept->second.started_ms == u.record.started_ms &&
+        now - kept->second.removed_at < longest_absence)
+        u.health = kept->second.health;
+    kept_health_.erase(kept);
+}
+
+void fleet::forget_health(mono_time now)
+{
+    std::erase_if(kept_health_, [&](const auto& it)
+                  { return now - it.second.removed_at >= longest_absence; });
+}
+
+void fleet::note_answer(upstream& u, const answer_info& answer, mono_time now)
+{
+    if (answer.is_leaving && !u.health.is_leaving())
+    {
+        u.health.leaves();
+        u.connections.close_idle();
+        observe::log(event::gateway_upstream_leaving,
+                     {{"upstream", u.record.id.value},
+                      {"started_ms", u.record.started_ms}});
+    }
+    const duration asked = answer.pause.value_or(duration::zero());
+    if (answer.has_bad_pause || asked > longest_asked_pause)
+        observe::log(event::gateway_upstream_bad_pause,
+                     {{"upstream", u.record.id.value},
+                      {"asked_ms", to_milliseconds(asked)}});
+    if (asked > duration::zero())
+    {
+        const mono_time until = now + std::min(asked, longest_asked_pause);
+        if (u.health.accepts_requests(now))
+            observe::log(event::gateway_upstream_pause,
+                         {{"upstream", u.record.id.value},
+                          {"pause_ms", to_milliseconds(until - now)}});
+        u.health.asked_to_pause(until);
+    }
+    u.update_placed(now);
+    share_health(u, now);
+}
+
+/// The entry may have been removed, and have come back, while a call to the
+/// upstream was open.
+void fleet::share_health(const upstream& u, mono_time now)
+{
+    const upstream_ptr listed = find(u.record.id);
+    if (!listed)
+    {
+        if (!u.health.accepts_requests(now))
+            kept_health_[u.record.id] = {u.record.started_ms, u.health, now};
+    }
+    else if (listed.get() != &u &&
+             listed->record.started_ms == u.record.started_ms)
+    {
+        if (u.health.is_leaving())
+            listed->health.leaves();
+        listed->health.asked_to_pause(u.health.usable_at());
+        listed->update_placed(now);
+    }
+}
+
+call_hooks fleet::hooks_for(const upstream_ptr& u)
+{
+    return {[u] { return u->health.accepts_requests(now()); },
+            [this, u](const answer_info& a)
+            {
+                note_answer(*u, a, now());
+            }};
+}
+
+std::optional<duration> fleet::shortest_pause(const service_fleet& service,
+                                              mono_time now)
+{
+    std::optional<duration> shortest;
+    for (const upstream_ptr& it : service.members)
+    {
+        if (it->record.state != upstream_state::ready ||
+            it->health.is_leaving() || it->health.is_usable(now))
+            continue;
+        const duration pause = it->health.usable_at() - now;
+        shortest = std::min(shortest.value_or(pause), pause);
+    }
+    return shortest;
+}
+
 void fleet::configure(const configuration& config)
 {
     for (const service& it : config.services)
@@ -153,9 +264,7 @@
     for (const auto& [id, u] : upstreams_)
     {
         u->connections.close_stale(now);
-        u->placed.usable = u->record.state == upstream_state::ready &&
-                           !u->health.is_paused(now);
-        u->placed.penalty_seconds = u->health.penalty_seconds();
+        u->update_placed(now);
         if (u->lapses_at != mono_time{} && u->lapses_at < now)
             lapsed.push_back(u);
     }
@@ -165,6 +274,7 @@
                      {{"upstream", it->record.id.value}, {"lapsed", "ended"}});
         erase(it);
     }
+    forget_health(now);
 }
 
 void fleet::close_idle_connections()
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "base/digest.hpp"
-#include "gateway/connections.hpp"
 #include "gateway/types.hpp"
+#include "gateway/upstream_call.hpp"
 #include "policy/engine_placement.hpp"
 #include "policy/overtaking.hpp"
 #include "policy/retry_budget.hpp"
@@ -39,6 +39,9 @@
     /// Its entry vanished around an outage of the store; it is used until
     /// this time, when live upstreams have registered again.
     mono_time lapses_at{};
+
+    /// Makes the placement see its health and the state of its entry.
+    void update_placed(mono_time now);
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
@@ -86,6 +89,15 @@
     void sweep(mono_time now);
     void close_idle_connections();
 
+    /// Takes from an answer what the upstream says of itself.
+    void note_answer(upstream& u, const answer_info& answer, mono_time now);
+    /// For calls to an upstream; the fleet must outlive them.
+    call_hooks hooks_for(const upstream_ptr& u);
+    /// Time from `now` until an upstream of the service that is paused may be
+    /// used; empty when none is.
+    static std::optional<duration> shortest_pause(const service_fleet& service,
+                                                  mono_time now);
+
     /// Null when no upstream has registered for the service.
     service_fleet* find(const service_id& service);
     upstream_ptr find(const upstream_id& id) const;
@@ -100,8 +112,20 @@
     }
 
 private:
+    /// Health of a process whose entry was removed: what it asked for holds
+    /// when the entry comes back, as long as it is the same process.
+    struct kept_health
+    {
+        std::int64_t started_ms = 0;
+        policy::upstream_health health;
+        mono_time removed_at{};
+    };
+
     service_fleet& fleet_of(const service_id& service);
     void erase(const upstream_ptr& it);
+    void share_health(const upstream& u, mono_time now);
+    void restore_health(upstream& u, mono_time now);
+    void forget_health(mono_time now);
     void set_limits(upstream& u) const;
     bool may_lapse(mono_time now) const;
 
@@ -111,6 +135,7 @@
     std::map<upstream_id, upstream_ptr> upstreams_;
     absl::flat_hash_map<std::uint64_t, upstream_ptr> by_key_;
     std::map<service_id, service> configured_;
+    std::map<upstream_id, kept_health> kept_health_;
     bool store_connected_ = false;
     mono_time store_lost_at_{};
     mono_time store_back_at_{};
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -239,6 +239,7 @@
     request.head.set(http::field::host, to_string(u->record.address));
     request.body = std::make_shared<std::string>();
     request.time_limit = cache_list_limit;
+    request.hooks = state_.upstreams.hooks_for(u);
     upstream_call call(u->connections, std::move(request));
     call_status status = co_await call.start();
     std::string body;
@@ -298,10 +299,12 @@
                        std::vector<engine_snapshot> found;
                        for (const auto& [id, u] : state_.upstreams.all())
                            if (u->record.stage != engine_stage::none &&
-                               u->record.state == upstream_state::ready)
+                               u->record.state == upstream_state::ready &&
+                               !u->health.is_leaving())
                                found.push_back(
-                                   {u->record, u->placed.own.runs +
-                                                   u->placed.others.runs});
+                                   {u->record,
+                                    u->placed.own.runs + u->placed.others.runs,
+                                    u->health.accepts_requests(now())});
                        return found;
                    }))
         .get();
--- a/gateway/types.hpp
+++ b/gateway/types.hpp
@@ -139,6 +139,10 @@
     /// Bears the upstream's signature; a success without one is not its answer.
     bool is_signed = false;
     std::optional<duration> keep_alive;
+    /// The upstream takes no requests for this long.
+    std::optional<duration> pause;
+    bool has_bad_pause = false; ///< A pause that cannot be read.
+    bool is_leaving = false;    ///< The upstream will end.
 };
 
 /// KV cache that an upstream keeps for a request whose prompt it has read.
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -17,7 +17,9 @@
 
 /// Answers to other requests that are skipped before a call counts as broken.
 constexpr unsigned most_skipped_answers = 3;
-constexpr std::size_t read_size = 8 << 10;     // bytes
+constexpr std::size_t read_size = 8 << 10; // bytes
+/// Of one answer to another request; such answers may have no end.
+constexpr std::size_t most_skipped_bytes = 256 << 10;
 constexpr std::uint32_t head_limit = 16 << 10; // bytes
 
 } // namespace
@@ -118,6 +120,11 @@
     const call_status connected = co_await connect();
     if (connected != call_status::ok)
         co_return connected;
+    if (request_.hooks.may_send && !request_.hooks.may_send())
+    {
+        failure_ = asio::error::operation_not_supported;
+        co_return call_status::not_connected;
+    }
     connection_->stream.expires_after(
         std::max<duration>(end_ - now(), std::chrono::milliseconds(1)));
     send();
@@ -128,6 +135,11 @@
             co_return status;
         const bool is_interim = head().result_int() < 200;
         const bool is_other = !info_.id.empty() && info_.id != request_.id;
+        // A late answer to an earlier request may have lost its id.
+        const bool is_doubtful = info_.id.empty() && !request_.id.empty() &&
+                                 connection_->requests > 0;
+        if (!is_interim && is_doubtful)
+            co_return call_status::broken;
         if (!is_interim && !is_other)
             co_return call_status::ok;
         const call_status skipped = co_await skip_body();
@@ -182,6 +194,8 @@
     {
         info_ = platform::decode_answer(parser_->get());
         is_complete_ = parser_->is_done();
+        if (request_.hooks.answered)
+            request_.hooks.answered(info_);
     }
     co_return status;
 }
@@ -190,12 +204,14 @@
 {
     std::string body;
     bool is_end = is_complete_;
-    while (!is_end)
+    for (std::size_t skipped = 0; !is_end; skipped += body.size())
     {
+        body.clear();
         const call_status status = co_await read_some(body, is_end);
         if (status != call_status::ok)
             co_return status;
-        body.clear();
+        if (skipped > most_skipped_bytes)
+            co_return call_status::broken;
     }
     co_return call_status::ok;
 }
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -31,6 +32,15 @@
 
 std::string to_string(call_status status);
 
+/// What a call asks and tells the owner of its upstream; may be empty.
+struct call_hooks
+{
+    /// Asked when the connection is there; false: the call is not sent.
+    std::function<bool()> may_send;
+    /// The head of each answer, those to other requests included.
+    std::function<void(const answer_info&)> answered;
+};
+
 struct call_request
 {
     request_head head;
@@ -41,6 +51,7 @@
     duration connect_limit{std::chrono::milliseconds(400)};
     /// Longest idle time of a kept connection that may carry the request.
     duration max_idle{std::chrono::hours(1)};
+    call_hooks hooks;
 };
 
 class upstream_call
--- a/policy/upstream_health.cpp
+++ b/policy/upstream_health.cpp
@@ -22,7 +22,7 @@
 {
     failure_share_ -= settings_.answer_weight * failure_share_;
     unreachable_ = 0;
-    paused_until_ = {};
+    unreachable_until_ = {};
 }
 
 void upstream_health::failed()
@@ -34,14 +34,34 @@
 {
     const unsigned doublings = std::min(unreachable_, max_doublings);
     ++unreachable_;
-    paused_until_ = now + std::min(settings_.shortest_pause *
-                                       (std::int64_t(1) << doublings),
-                                   settings_.longest_pause);
+    unreachable_until_ = now + std::min(settings_.shortest_pause *
+                                            (std::int64_t(1) << doublings),
+                                        settings_.longest_pause);
 }
 
-bool upstream_health::is_paused(mono_time now) const
+void upstream_health::asked_to_pause(mono_time until)
 {
-    return now < paused_until_;
+    asked_until_ = std::max(asked_until_, until);
+}
+
+void upstream_health::leaves()
+{
+    is_leaving_ = true;
+}
+
+bool upstream_health::is_usable(mono_time now) const
+{
+    return accepts_requests(now) && now >= unreachable_until_;
+}
+
+bool upstream_health::accepts_requests(mono_time now) const
+{
+    return !is_leaving_ && now >= asked_until_;
+}
+
+mono_time upstream_health::usable_at() const
+{
+    return std::max(unreachable_until_, asked_until_);
 }
 
 double upstream_health::penalty_seconds() const
--- a/policy/upstream_health.hpp
+++ b/policy/upstream_health.hpp
@@ -17,8 +17,11 @@
     duration longest_pause{std::chrono::seconds(2)};
 };
 
+/// Whether an upstream may be sent new requests, and how good it is.
+///
 /// An upstream that fails requests is used less, never given up: each answer
-/// counts, and after a pause one that was unreachable is tried again.
+/// counts, and after a pause one that was unreachable is tried again. Pauses
+/// that the upstream asks for, and its leaving, hold whatever else it answers.
 class upstream_health
 {
 public:
@@ -30,7 +33,21 @@
     /// No connection could be made.
     void unreachable(mono_time now);
 
-    bool is_paused(mono_time now) const;
+    /// The upstream asked for no requests until then.
+    void asked_to_pause(mono_time until);
+    /// The upstream said that it will end; it never takes that back.
+    void leaves();
+
+    /// False during a pause and for an upstream that leaves.
+    bool is_usable(mono_time now) const;
+    /// False only for what the upstream itself has asked for.
+    bool accepts_requests(mono_time now) const;
+    /// End of its pauses; of no meaning for one that leaves.
+    mono_time usable_at() const;
+    bool is_leaving() const
+    {
+        return is_leaving_;
+    }
     /// To add to estimates of the time it takes.
     double penalty_seconds() const;
     double failure_share() const
@@ -42,7 +59,9 @@
     upstream_health_settings settings_;
     double failure_share_ = 0;
     unsigned unreachable_ = 0;
-    mono_time paused_until_{};
+    mono_time unreachable_until_{};
+    mono_time asked_until_{};
+    bool is_leaving_ = false;
 };
 
 } // namespace poplar::policy
--- /dev/null
+++ b/tests/platform/gateway_leaving_test.cpp
@@ -0,0 +1,268 @@
+// Guards against requests to an upstream that has said that it leaves, or that
+// asked for a pause, whatever the store says of it meanwhile.
+#include "tests/platform/gateway_fixture.hpp"
+
+namespace poplar::gateway
+{
+namespace
+{
+
+std::size_t requests_at(const scripted_upstream& u)
+{
+    return std::size_t(
+        std::ranges::count_if(u.heads(), [](const std::string& head)
+                              { return !head.starts_with("GET /kv-list"); }));
+}
+
+double retry_after_of(const std::string& answer)
+{
+    const std::string text = field_of(answer, "Retry-After");
+    return text.empty() ? -1 : std::stod(text);
+}
+
+std::string stream_of(const std::string& head, const std::string& fields)
+{
+    const std::string id = field_of(head, "Attempt-Id");
+    if (head.starts_with("GET /kv-list"))
+        return whole_answer(404, "", "");
+    if (field_of(head, "Serving-Stage") == "prefill")
+        return whole_answer(200, id, R"({"kvHandle":"h"})", fields);
+    std::string bytes = stream_head(id);
+    bytes.insert(bytes.find("\r\n") + 2, fields);
+    return bytes + chunk("id: 1\n\n") + "0\r\n\r\n";
+}
+
+struct leaving_case
+{
+    const char* name;
+    const char* service;
+    const char* stage; ///< Of the upstream that leaves.
+    const char* path;
+    unsigned status; ///< Of its answer.
+};
+
+class leaving_upstream : public gateway_test,
+                         public testing::WithParamInterface<leaving_case>
+{
+protected:
+    static std::string call_for(const std::string& id)
+    {
+        if (!GetParam().stage[0])
+            return request(GetParam().path, id);
+        // Long and new, so that it is read apart where an engine reads.
+        return request("/stream/x", id,
+                       "Model: m\r\nToken-Count: 6000,20\r\n"
+                       "Prompt-Prefix: aa" +
+                           id + ":4000,bb" + id + ":2000\r\n");
+    }
+    static std::string last_bytes()
+    {
+        return GetParam().stage[0] ? "0\r\n\r\n" : "end of answer";
+    }
+    void add(const std::string& id, const ip_address& at, int born = 1)
+    {
+        add_upstream(id, at, GetParam().service, GetParam().stage);
+        if (born != 1)
+            put_started(id, born);
+    }
+    void put_started(const std::string& id, int born)
+    {
+        const object_key key("servers/" + id);
+        json entry = json::parse(store_.get(key).value);
+        entry["born"] = born;
+        put(key.value, entry);
+    }
+    scripted_answer answer(const std::string& head, bool leaves) const
+    {
+        const std::string fields = leaves ? "Server-Leaving: 1\r\n" : "";
+        // Reading takes its time; a rate measured without it would have later
+        // prompts read beside the streams.
+        if (GetParam().stage[0])
+            return {.bytes = stream_of(head, fields),
+                    .delay = milliseconds(100)};
+        const unsigned status = leaves ? GetParam().status : 200;
+        return {whole_answer(
+            status, field_of(head, "Attempt-Id"), "end of answer",
+            fields + (status == 503 ? "Not-Executed: 1\r\n" : ""))};
+    }
+};
+
+// The entry of the store says that the upstream is ready all the time, is
+// written again, and is removed and comes back.
+TEST_P(leaving_upstream, gets_no_request_after_it_said_so)
+{
+    scripted_upstream leaving([this](const std::string& head)
+                              { return answer(head, true); });
+    scripted_upstream other([this](const std::string& head)
+                            { return answer(head, false); });
+    const bool reads = GetParam().stage == std::string("prefill");
+    scripted_upstream runner([this](const std::string& head)
+                             { return answer(head, false); });
+    add("i-1", leaving.address());
+    if (reads)
+        add_upstream("i-3", runner.address(), "writers", "decode");
+    start();
+    std::string last = fetch(call_for("1"), last_bytes());
+    ASSERT_EQ(requests_at(leaving), 1U);
+    add("i-2", other.address());
+    std::this_thread::sleep_for(milliseconds(200));
+    const auto expect_not_used = [&](const char* when)
+    {
+        for (const char* id : {"a", "b", "c"})
+            EXPECT_EQ(status_of(fetch(call_for(id), last_bytes())), "200")
+                << when;
+        EXPECT_EQ(requests_at(leaving), 1U) << when;
+    };
+    expect_not_used("entry unchanged");
+    json entry = json::parse(store_.get(object_key("servers/i-1")).value);
+    entry["seq"] = 7;
+    put("servers/i-1", entry);
+    std::this_thread::sleep_for(milliseconds(200));
+    expect_not_used("entry written again");
+    const object_key key("servers/i-1");
+    store_.remove(key, store_.get(key).version);
+    std::this_thread::sleep_for(milliseconds(200));
+    put(key.value, entry);
+    std::this_thread::sleep_for(milliseconds(200));
+    expect_not_used("entry removed and back");
+}
+
+TEST_P(leaving_upstream, is_used_again_when_it_has_started_anew)
+{
+    std::atomic<bool> leaves = true;
+    scripted_upstream u([&](const std::string& head)
+                        { return answer(head, leaves); });
+    scripted_upstream runner([this](const std::string& head)
+                             { return answer(head, false); });
+    add("i-1", u.address());
+    if (GetParam().stage == std::string("prefill"))
+        add_upstream("i-3", runner.address(), "writers", "decode");
+    start();
+    std::string last = fetch(call_for("1"), last_bytes());
+    const std::size_t before = requests_at(u);
+    leaves = false;
+    put_started("i-1", 2);
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(status_of(fetch(call_for("2"), last_bytes())), "200");
+    EXPECT_GT(requests_at(u), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, leaving_upstream,
+    testing::Values(leaving_case{"call", "desk", "", "/safe/x", 200},
+                    leaving_case{"refusal", "desk", "", "/safe/x", 503},
+                    leaving_case{"stream", "writers", "decode", "", 200},
+                    leaving_case{"reading", "writers", "prefill", "", 200}),
+    [](const auto& it) { return it.param.name; });
+
+struct pause_case
+{
+    const char* name;
+    const char* fields;
+    duration at_least; ///< Zero: it is used again at once.
+};
+
+class asked_pause : public gateway_test,
+                    public testing::WithParamInterface<pause_case>
+{
+};
+
+// One upstream of the service asks for a pause; a caller is refused at once
+// and told when to come back. A registration does not end the pause.
+TEST_P(asked_pause, is_kept_and_told_to_callers)
+{
+    std::atomic<bool> is_full = true;
+    scripted_upstream u(
+        [&](const std::string& head) -> scripted_answer
+        {
+            const std::string id = field_of(head, "Attempt-Id");
+            if (is_full)
+                return {whole_answer(503, id, "",
+                                     std::string("Not-Executed: 1\r\n") +
+                                         GetParam().fields)};
+            return {whole_answer(200, id, "end of answer")};
+        });
+    add_upstream("i-1", u.address(), "desk");
+    start();
+    EXPECT_EQ(status_of(fetch(request("/once/x", "1"), "\r\n\r\n")), "503");
+    const mono_time asked = now();
+    const std::size_t before = requests_at(u);
+    is_full = false;
+    json entry = json::parse(store_.get(object_key("servers/i-1")).value);
+    entry["seq"] = 7;
+    put("servers/i-1", entry);
+    std::this_thread::sleep_for(milliseconds(150));
+    if (GetParam().at_least == duration{})
+    {
+        EXPECT_EQ(status_of(fetch(request("/once/x", "2"))), "200");
+        return;
+    }
+    const std::string refusal = fetch(request("/once/x", "2"), "\r\n\r\n");
+    EXPECT_EQ(status_of(refusal), "503");
+    const double left =
+        double((GetParam().at_least - (now() - asked)).count()) / 1e6;
+    EXPECT_NEAR(retry_after_of(refusal), left, 0.1);
+    while (now() - asked < GetParam().at_least - milliseconds(20))
+    {
+        EXPECT_EQ(status_of(fetch(request("/once/x", "3"), "\r\n\r\n")), "503");
+        if (GetParam().at_least > seconds(5))
+            return;
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    EXPECT_EQ(requests_at(u), before);
+    std::this_thread::sleep_for(milliseconds(400)); // one sweep and a margin
+    EXPECT_EQ(status_of(fetch(request("/once/x", "4"))), "200");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    values, asked_pause,
+    testing::Values(
+        pause_case{"whole", "Retry-After: 1\r\n", seconds(1)},
+        pause_case{"fraction", "Retry-After: 0.8\r\n", milliseconds(800)},
+        pause_case{"twice", "Retry-After: 0.3\r\nRetry-After: 1.1\r\n",
+                   milliseconds(1100)},
+        pause_case{"huge", "Retry-After: 1e9\r\n", seconds(60)},
+        pause_case{"negative", "Retry-After: -3\r\n", duration{}},
+        pause_case{"not_a_number", "Retry-After: nan\r\n", duration{}},
+        pause_case{"infinite", "Retry-After: inf\r\n", duration{}},
+        pause_case{"date", "Retry-After: Wed, 21 Oct 2026 07:28:00 GMT\r\n",
+                   duration{}}),
+    [](const auto& it) { return it.param.name; });
+
+// A success that was on its way does not end the pause, and the other upstream
+// takes what comes meanwhile.
+TEST_F(gateway_test, pauses_one_upstream_and_uses_the_other)
+{
+    std::atomic<unsigned> count = 0;
+    scripted_upstream pausing(
+        [&](const std::string& head) -> scripted_answer
+        {
+            const std::string id = field_of(head, "Attempt-Id");
+            if (count++ == 0)
+                return {.bytes = whole_answer(200, id, "end of answer"),
+                        .delay = milliseconds(400)};
+            return {whole_answer(503, id, "",
+                                 "Not-Executed: 1\r\nRetry-After: 1.5\r\n")};
+        });
+    scripted_upstream other(
+        [](const std::string& head) -> scripted_answer {
+            return {whole_answer(200, field_of(head, "Attempt-Id"),
+                                 "end of answer")};
+        });
+    add_upstream("i-1", pausing.address(), "desk");
+    start();
+    scripted_caller slow(gateway_->address());
+    slow.send(request("/safe/x", "1"));
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_EQ(status_of(fetch(request("/safe/x", "2"), "\r\n\r\n")), "503");
+    EXPECT_EQ(status_of(slow.read_until("end of answer")), "200");
+    add_upstream("i-2", other.address(), "desk");
+    std::this_thread::sleep_for(milliseconds(200));
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(status_of(fetch(request("/safe/x", std::to_string(i + 3)))),
+                  "200");
+    EXPECT_EQ(requests_at(pausing), 2U);
+}
+
+} // namespace
+} // namespace poplar::gateway
