--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -73,10 +73,12 @@
     {
         if (!co_await wait_for_request())
             break;
+        is_busy_ = true;
         if (!co_await read_request())
             break;
         co_await serve_request();
         ++served_;
+        is_busy_ = buffer_.size() > 0;
     }
     error_code ec;
     ec = stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
--- a/gateway/caller_session.hpp
+++ b/gateway/caller_session.hpp
@@ -21,10 +21,10 @@
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
 
-    /// True while no request has been read whose answer is not sent.
+    /// True while no byte of a request has come whose answer is not sent.
     bool is_idle() const
     {
-        return exchange_ == nullptr;
+        return !is_busy_;
     }
     /// Ends the request that is being served, and the connection.
     void close();
@@ -56,6 +56,7 @@
     exchange* exchange_ = nullptr;
     unsigned watch_ = 0; ///< Number of the latest watch.
     unsigned served_ = 0;
+    bool is_busy_ = false;
     bool keeps_open_ = true;
     bool is_failed_ = false;
 };
--- a/gateway/connections.hpp
+++ b/gateway/connections.hpp
@@ -29,7 +29,14 @@
 /// A connection that serves one request at a time.
 struct upstream_connection
 {
-    explicit upstream_connection(asio::io_context& context) : stream(context) {}
+    /// Bytes that are read and not parsed yet. Extensions of chunks and
+    /// trailers are parsed as a whole and have no limit of their own.
+    static constexpr std::size_t most_unparsed = 256 << 10;
+
+    explicit upstream_connection(asio::io_context& context)
+        : stream(context), buffer(most_unparsed)
+    {
+    }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -26,6 +26,9 @@
 /// A change that does not show after this time is planned again.
 constexpr duration change_limit = seconds(14);
 constexpr duration call_limit = seconds(1);
+/// A gateway asks for the right to order when orders have been due for this
+/// long for each one before it, so that not all ask all the time.
+constexpr duration rank_delay = seconds(2);
 
 engine_stage stage_of(policy::placed_stage stage)
 {
@@ -69,11 +72,15 @@
 
 engine_control::~engine_control()
 {
-    {
-        absl::MutexLock lock(&mutex_);
-        is_ending_ = true;
-    }
+    end_orders();
     thread_.join();
+    remove_registration();
+}
+
+void engine_control::end_orders()
+{
+    absl::MutexLock lock(&mutex_);
+    is_ending_ = true;
 }
 
 bool engine_control::pause(duration d)
@@ -100,29 +107,29 @@
         }
         goes_on = pause(check_interval);
     }
-    remove_registration();
 }
 
 void engine_control::keep_registered()
 {
-    if (is_registered_)
+    if (registered_ != object_version())
         return;
     const object_key key(gateway_prefix + options_.instance.value);
     const std::string value = encode_registration(options_.peer);
     store::put_result result = store_.put(key, value, object_version());
     if (result.status == store::put_status::conflict)
         result = store_.put(key, value, result.version);
-    is_registered_ = result.status == store::put_status::written;
+    if (result.status == store::put_status::written)
+        registered_ = result.version;
 }
 
 void engine_control::remove_registration()
 {
-    if (!is_registered_)
+    if (registered_ == object_version())
         return;
     const object_key key(gateway_prefix + options_.instance.value);
     try
     {
-        store_.remove(key, store_.get(key).version);
+        store_.remove(key, registered_);
     }
     catch (const store::store_error& ec)
     {
@@ -168,6 +175,14 @@
     const policy::stage_plan plan = policy::plan_stages(
         options_.stages, staged, streams_[service].value(), is_first);
     if (plan.changes.empty())
+    {
+        wanted_since_.erase(service);
+        return;
+    }
+    const mono_time since =
+        wanted_since_.try_emplace(service, now()).first->second;
+    if (!lease_.may_order() &&
+        now() - since < rank_delay * std::int64_t(options_.rank()))
         return;
     const auto token = lease_.acquire();
     if (!token)
--- a/gateway/engine_control.hpp
+++ b/gateway/engine_control.hpp
@@ -26,6 +26,12 @@
 {
     instance_id instance;
     ip_address peer;
+    /// Place of this gateway among all, from 0; the first one that lives gives
+    /// the orders.
+    std::function<std::size_t()> rank = []
+    {
+        return std::size_t(0);
+    };
     duration order_lease = std::chrono::seconds(3);
     policy::stage_plan_settings stages;
 };
@@ -47,6 +53,8 @@
                    snapshot_source snapshot);
     /// Ends the thread and removes the registration.
     ~engine_control();
+    /// Starts nothing more; the registration stays.
+    void end_orders();
     engine_control(const engine_control&) = delete;
     engine_control& operator=(const engine_control&) = delete;
 
@@ -75,11 +83,14 @@
     const snapshot_source snapshot_;
     net::http_client client_;
     order_lease lease_;
-    bool is_registered_ = false;
+    /// Of the registration; 0: there is none.
+    object_version registered_;
     std::map<service_id, unsigned> planned_;
     std::map<service_id, policy::stream_average> streams_;
     std::map<service_id, std::size_t> seen_engines_;
     std::map<service_id, mono_time> steady_since_;
+    /// Since when changes have been due.
+    std::map<service_id, mono_time> wanted_since_;
     std::map<upstream_id, pending_order> pending_;
 
     absl::Mutex mutex_;
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -183,10 +183,9 @@
     co_return a;
 }
 
-/// Only where another try may follow, and not with the last of the budget,
-/// which is kept for upstreams that fail at once.
-void exchange::give_up_stalled(const upstream& u, upstream_call& call,
-                               bool reads_only) const
+/// Not with the last of the budget, which is kept for upstreams that fail at
+/// once.
+bool exchange::may_give_up(bool reads_only) const
 {
     try_history after = history_;
     ++after.tries;
@@ -194,12 +193,16 @@
     after.has_time = time_left() > shortest_try;
     const bool has_budget =
         fleet_->retries.available() >= least_retries_for_stalled;
-    const bool may_follow =
-        reads_only
-            ? has_budget && after.tries < most_tries && may_read_again(after)
-            : after_try(try_result::stalled, after,
-                        [&] { return has_budget; }) == next_step::retry;
-    if (call.is_given_up() || !may_follow)
+    if (reads_only)
+        return has_budget && after.tries < most_tries && may_read_again(after);
+    return after_try(try_result::stalled, after, [&] { return has_budget; }) ==
+           next_step::retry;
+}
+
+void exchange::give_up_stalled(const upstream& u, upstream_call& call,
+                               bool reads_only) const
+{
+    if (call.is_given_up() || !may_give_up(reads_only))
         return;
     observe::log(event::gateway_try_stalled,
                  {{"request", info_.id.value},
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -85,6 +85,8 @@
     asio::awaitable<call_status> forward_events(upstream_call& call,
                                                 placed_work& reading,
                                                 ordered_try& order);
+    /// When the upstream is given up unless it completes another event.
+    mono_time next_event_limit() const;
     asio::awaitable<void> forward_piece(upstream_call& call,
                                         std::string events);
 
@@ -115,6 +117,10 @@
     /// Ends a call that later ones have overtaken, if another try may follow.
     void give_up_stalled(const upstream& u, upstream_call& call,
                          bool reads_only) const;
+    /// Whether another try may follow when the present one is given up.
+    bool may_give_up(bool reads_only) const;
+    /// After which callers of the route leave a stream without an event.
+    duration patience() const;
     static try_result result_of(call_status status);
     try_result judge(const plain_answer& answer) const;
     /// Of an answer that would be passed on.
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -28,6 +28,9 @@
 constexpr duration shortest_patience = std::chrono::seconds(2);
 constexpr int patience_in_targets = 4;
 constexpr int patience_in_pauses = 8;
+/// A stream that pauses for this part of the patience goes on at another
+/// engine; the rest is left for that engine's first event.
+constexpr double stalled_share = 0.75;
 
 /// Whether an engine has taken a reading that failed. One that resets the
 /// connection has not begun with the prompt or has ended.
@@ -101,6 +104,12 @@
     return choice ? fleet_->members[choice->engine] : nullptr;
 }
 
+duration exchange::patience() const
+{
+    return std::max({shortest_patience, patience_in_targets * route_->target,
+                     patience_in_pauses * route_->pause_target});
+}
+
 /// A request that another engine failed was admitted before.
 policy::admission_decision
 exchange::admit(const policy::placement_plan& plan) const
@@ -118,9 +127,7 @@
         r.wait + policy::from_seconds(first.read_seconds) + first_event_time;
     r.spent = now() - request_.received;
     r.target = route_->target;
-    r.patience =
-        std::max({shortest_patience, patience_in_targets * route_->target,
-                  patience_in_pauses * route_->pause_target});
+    r.patience = patience();
     r.time_left = time_left();
     const auto decision = policy::admit({}, r);
     if (!decision.is_admitted)
@@ -410,10 +417,13 @@
 {
     std::string bytes;
     bool is_end = false;
+    // Until its first event an engine may be reading, however long.
+    mono_time limit = mono_time::max();
     while (!is_end)
     {
         bytes.clear();
-        const call_status status = co_await call.read_some(bytes, is_end);
+        const call_status status =
+            co_await call.read_some(bytes, is_end, limit);
         if (status != call_status::ok)
             co_return status;
         std::string events = events_.add(bytes);
@@ -424,6 +434,7 @@
         reading.end();
         order.answered();
         co_await forward_piece(call, std::move(events));
+        limit = next_event_limit();
     }
     if (events_.has_partial_event())
         co_return call_status::broken;
@@ -433,6 +444,16 @@
     co_return call_status::ok;
 }
 
+/// Bytes of an event that is not complete do not count: an engine in trouble
+/// may send one now and then.
+mono_time exchange::next_event_limit() const
+{
+    if (!may_give_up(false))
+        return mono_time::max();
+    return now() +
+           policy::from_seconds(policy::seconds(patience()) * stalled_share);
+}
+
 asio::awaitable<void> exchange::forward_piece(upstream_call& call,
                                               std::string events)
 {
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,11 +1,13 @@
 #include "gateway/gateway.hpp"
 
+#include "base/digest.hpp"
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
 #include "platform/objects.hpp"
 #include "platform/wire.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -24,8 +26,15 @@
 using observe::event;
 
 /// A late registration only delays the exchange of load reports.
-constexpr duration registration_watch = std::chrono::seconds(15);
-constexpr duration registration_gather = std::chrono::seconds(2);
+constexpr duration registration_watch = std::chrono::seconds(25);
+constexpr duration registration_gather = std::chrono::seconds(4);
+/// Of the time in which a change must be in force, the part that a state of the
+/// store counts as known for after its confirmation. A watch of the leading
+/// gateway confirms it several times within that.
+constexpr double confirmed_share = 0.75;
+constexpr double leading_watch_share = 0.33;
+/// Of the drain time, part that the entries of upstreams are gathered for.
+constexpr int drain_parts = 4;
 constexpr duration cache_list_limit = std::chrono::seconds(1);
 constexpr std::size_t max_cache_list = std::size_t(1) << 20; // bytes
 constexpr duration sweep_interval = std::chrono::milliseconds(250);
@@ -65,6 +74,26 @@
     return f;
 }
 
+duration confirmed_for(const gateway_settings& s)
+{
+    return policy::from_seconds(policy::seconds(s.timeouts.apply) *
+                                confirmed_share);
+}
+
+std::optional<followed_state> followed_by(const store::watcher& w)
+{
+    const store::watched_state s = w.state();
+    if (s.confirmed == mono_time{})
+        return std::nullopt;
+    return followed_state{s.digest, now() - s.confirmed};
+}
+
+void compare(store::watcher& w, const std::optional<followed_state>& other)
+{
+    if (other)
+        w.compare({other->digest, now() - other->age});
+}
+
 } // namespace
 
 gateway::gateway(const gateway_settings& settings, store::object_store& store)
@@ -73,7 +102,13 @@
       ready_(listen_at(loop_, settings.ready)),
       admin_(listen_at(loop_, settings.admin)),
       status_handler_([this](const std::string& path)
-                      { return answer_status(path); })
+                      { return answer_status(path); }),
+      configuration_sharing_(settings.instance.value,
+                             digest(platform::configuration_prefix),
+                             confirmed_for(settings)),
+      upstream_sharing_(settings.instance.value,
+                        digest(platform::upstream_prefix),
+                        confirmed_for(settings))
 {
     start_watchers();
     start_loop();
@@ -81,11 +116,7 @@
 
 gateway::~gateway()
 {
-    control_.reset();
-    store_.stop_watches();
-    configuration_watcher_.reset();
-    upstream_watcher_.reset();
-    gateway_watcher_.reset();
+    end_store_work();
     close_sessions();
     loop_.stop();
     thread_.join();
@@ -119,9 +150,11 @@
 
 void gateway::start_watchers()
 {
+    const gateway_timeouts& t = state_.settings.timeouts;
     store::watcher_options options;
-    // A watch may hear nothing of a change; the next one does.
-    options.poll = state_.settings.timeouts.apply * 3 / 4;
+    options.poll =
+        policy::from_seconds(policy::seconds(t.apply) * leading_watch_share);
+    options.confirmed_for = confirmed_for(state_.settings);
     options.longest_pause = std::chrono::milliseconds(500);
     options.prefix = platform::configuration_prefix;
     store::watcher_hooks hooks;
@@ -132,7 +165,7 @@
     configuration_watcher_ =
         std::make_unique<store::watcher>(store_, options, hooks);
     options.prefix = platform::upstream_prefix;
-    options.gather = state_.settings.timeouts.apply / 6;
+    options.gather = t.drain / drain_parts;
     hooks.changed = [this](const store::object& o)
     {
         asio::post(loop_, [this, o] { on_upstream(o); });
@@ -145,6 +178,7 @@
     upstream_watcher_ =
         std::make_unique<store::watcher>(store_, options, hooks);
     options.prefix = gateway_prefix;
+    options.confirmed_for = duration::zero();
     options.poll = registration_watch;
     options.gather = registration_gather;
     hooks.changed = [this](const store::object& o)
@@ -163,16 +197,63 @@
     asio::co_spawn(loop_, serve_status(admin_, status_handler_),
                    asio::detached);
     asio::co_spawn(loop_, sweep_regularly(), asio::detached);
-    state_.loads.start();
+    state_.loads.start(sharing_hooks());
     thread_ = std::thread([this] { loop_.run(); });
     engine_control_options o;
     o.instance = state_.settings.instance;
     o.peer = state_.loads.address();
     o.order_lease = state_.settings.timeouts.order_lease;
+    o.rank = [this]
+    {
+        return order_rank();
+    };
     control_ = std::make_unique<engine_control>(store_, o,
                                                 [this] { return engines(); });
 }
 
+/// Gateways tell each other what they know of the store and since when; where
+/// they know the same, one watch serves all.
+load_exchange_hooks gateway::sharing_hooks()
+{
+    load_exchange_hooks hooks;
+    hooks.before_send = [this](load_report& report)
+    {
+        if (!configuration_watcher_)
+            return;
+        report.configuration = followed_by(*configuration_watcher_);
+        report.upstreams = followed_by(*upstream_watcher_);
+    };
+    hooks.heard = [this](const load_report& report)
+    {
+        if (!configuration_watcher_)
+            return;
+        compare(*configuration_watcher_, report.configuration);
+        compare(*upstream_watcher_, report.upstreams);
+        if (report.configuration)
+            configuration_sharing_.heard(report.sender,
+                                         report.configuration->age, now());
+        if (report.upstreams)
+            upstream_sharing_.heard(report.sender, report.upstreams->age,
+                                    now());
+        share_watches();
+    };
+    hooks.forgotten = [this](mono_time before)
+    {
+        configuration_sharing_.forget(before);
+        upstream_sharing_.forget(before);
+        share_watches();
+    };
+    return hooks;
+}
+
+void gateway::share_watches()
+{
+    if (!configuration_watcher_)
+        return;
+    configuration_watcher_->set_leading(configuration_sharing_.leads());
+    upstream_watcher_->set_leading(upstream_sharing_.leads());
+}
+
 void gateway::on_configuration(const store::object& o)
 {
     if (o.key.value != platform::configuration_key || o.value.empty())
@@ -289,6 +370,22 @@
     share_retries();
 }
 
+/// Place of this gateway among those that are registered.
+std::size_t gateway::order_rank()
+{
+    return asio::post(
+               loop_,
+               asio::use_future(
+                   [this]
+                   {
+                       const object_key own(gateway_prefix +
+                                            state_.settings.instance.value);
+                       return std::size_t(std::distance(
+                           gateways_.begin(), gateways_.lower_bound(own)));
+                   }))
+        .get();
+}
+
 std::vector<engine_snapshot> gateway::engines()
 {
     return asio::post(
@@ -323,8 +420,12 @@
                            asio::detached);
             continue;
         }
-        co_await pause_accepting(loop_.get_executor(),
-                                 ec ? ec.message() : "too many callers");
+        if (!callers_.is_open())
+            co_return;
+        // GCC 12 destroys a temporary of an await expression twice when it
+        // stands in a conditional.
+        const std::string reason = ec ? ec.message() : "too many callers";
+        co_await pause_accepting(loop_.get_executor(), reason);
     }
 }
 
@@ -376,17 +477,51 @@
         .get();
 }
 
+void gateway::end_store_work()
+{
+    control_.reset();
+    store_.stop_watches();
+    // The loop uses the watchers; their threads may use the loop.
+    asio::post(loop_,
+               asio::use_future(
+                   [this]
+                   {
+                       return std::array{std::move(configuration_watcher_),
+                                         std::move(upstream_watcher_),
+                                         std::move(gateway_watcher_)};
+                   }))
+        .get();
+}
+
+/// Returns the number of sessions that are left.
+std::size_t gateway::close_idle_sessions()
+{
+    return asio::post(loop_, asio::use_future(
+                                 [this]
+                                 {
+                                     for (const auto& it : sessions_)
+                                         if (it->is_idle())
+                                             it->close();
+                                     return sessions_.size();
+                                 }))
+        .get();
+}
+
+/// A request that has just been read gets its refusal before the end.
 void gateway::close_sessions()
 {
-    const auto close_all = [this]
-    {
-        for (const auto& it : sessions_)
-            it->close();
-        return sessions_.size();
-    };
+    asio::post(loop_, asio::use_future([this] { callers_.close(); })).get();
     const mono_time began = now();
-    while (asio::post(loop_, asio::use_future(close_all)).get() > 0 &&
-           now() - began < close_limit)
+    while (close_idle_sessions() > 0 && now() - began < close_limit)
+        std::this_thread::sleep_for(close_poll);
+    asio::post(loop_, asio::use_future(
+                          [this]
+                          {
+                              for (const auto& it : sessions_)
+                                  it->close();
+                          }))
+        .get();
+    while (close_idle_sessions() > 0 && now() - began < 2 * close_limit)
         std::this_thread::sleep_for(close_poll);
 }
 
@@ -395,8 +530,13 @@
     const mono_time began = now();
     asio::post(loop_, [this] { state_.is_draining = true; });
     const gateway_timeouts& t = state_.settings.timeouts;
+    if (control_)
+        control_->end_orders();
     std::this_thread::sleep_for(t.close_delay);
     asio::post(loop_, [this] { state_.is_closing = true; });
+    // While open requests end: a store that does not answer must not hold up
+    // the end of the process.
+    end_store_work();
     while (now() - began < t.drain_limit && count_busy() > 0)
         std::this_thread::sleep_for(drain_poll);
 }
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/engine_control.hpp"
 #include "gateway/state.hpp"
 #include "gateway/status_server.hpp"
+#include "gateway/watch_sharing.hpp"
 #include "store/dialect.hpp"
 #include "store/watcher.hpp"
 
@@ -51,6 +52,9 @@
     /// Divides the retry budget among the registered gateways.
     void share_retries();
     std::vector<engine_snapshot> engines();
+    std::size_t order_rank();
+    load_exchange_hooks sharing_hooks();
+    void share_watches();
     asio::awaitable<void> accept_callers();
     asio::awaitable<void> serve_caller(asio::ip::tcp::socket socket);
     asio::awaitable<void> sweep_regularly();
@@ -60,6 +64,9 @@
     unsigned count_busy();
     /// Cuts what is still open, so that nothing outlives the state it uses.
     void close_sessions();
+    /// Ends what may wait for the store.
+    void end_store_work();
+    std::size_t close_idle_sessions();
 
     store::object_store& store_;
     asio::io_context loop_{1};
@@ -73,6 +80,8 @@
     std::unique_ptr<store::watcher> upstream_watcher_;
     std::unique_ptr<store::watcher> gateway_watcher_;
     std::map<object_key, ip_address> gateways_; ///< Registered ones.
+    watch_sharing configuration_sharing_;
+    watch_sharing upstream_sharing_;
     std::unique_ptr<engine_control> control_;
     std::thread thread_;
 };
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -31,8 +31,13 @@
 constexpr duration longest_interval = std::chrono::milliseconds(400);
 /// A report is repeated after this time when nothing changes.
 constexpr duration idle_interval = std::chrono::milliseconds(500);
-/// Load of a gateway that was silent for this long is no longer counted.
-constexpr duration peer_timeout = std::chrono::milliseconds(1500);
+/// Load of a gateway that was silent for this long is no longer counted; longer
+/// when each gateway is sent only one of several reports.
+constexpr duration shortest_peer_timeout = std::chrono::milliseconds(1500);
+constexpr int rounds_to_time_out = 3;
+/// Gateways that one report is sent to; the next one goes to others. It bounds
+/// what a gateway sends and receives in a second, however many there are.
+constexpr std::size_t most_receivers = 70;
 
 std::uint32_t clamp32(std::int64_t n)
 {
@@ -66,6 +71,23 @@
             in.runs()};
 }
 
+std::optional<fb::followed_state>
+to_wire(const std::optional<followed_state>& state)
+{
+    if (!state)
+        return std::nullopt;
+    return fb::followed_state(state->digest,
+                              clamp32(to_milliseconds(state->age)));
+}
+
+std::optional<followed_state> from_wire(const fb::followed_state* in)
+{
+    if (!in)
+        return std::nullopt;
+    return followed_state{in->digest(),
+                          std::chrono::milliseconds(in->age_ms())};
+}
+
 } // namespace
 
 std::string encode_load_report(const load_report& report)
@@ -81,10 +103,14 @@
         parts.emplace_back(it.upstream, it.part.digest,
                            clamp32(it.part.tokens.value),
                            clamp32(to_milliseconds(it.ready_in)));
+    const auto configuration = to_wire(report.configuration);
+    const auto upstreams = to_wire(report.upstreams);
     builder.Finish(fb::Createload_report(
         builder, report_version, builder.CreateString(report.sender),
         report.process, report.number, builder.CreateVectorOfStructs(loads),
-        builder.CreateVectorOfStructs(parts)));
+        builder.CreateVectorOfStructs(parts),
+        configuration ? &*configuration : nullptr,
+        upstreams ? &*upstreams : nullptr));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -111,10 +137,22 @@
                 {it->upstream(),
                  {it->part(), token_count(it->tokens())},
                  std::chrono::milliseconds(it->ready_in_ms())});
+    report.configuration = from_wire(in->configuration());
+    report.upstreams = from_wire(in->upstreams());
     return report;
 }
 
-bool peer_loads::apply(const load_report& report, mono_time now)
+void peer_loads::take_out(const peer& p, std::vector<std::uint64_t>& changed)
+{
+    for (const auto& [upstream, load] : p.loads)
+    {
+        sums_[upstream] -= load;
+        changed.push_back(upstream);
+    }
+}
+
+bool peer_loads::apply(const load_report& report, mono_time now,
+                       std::vector<std::uint64_t>& changed)
 {
     peer& p = peers_[report.sender];
     if (p.process == report.process && p.number >= report.number)
@@ -122,24 +160,35 @@
     p.process = report.process;
     p.number = report.number;
     p.heard = now;
+    take_out(p, changed);
     p.loads.clear();
     p.loads.insert(report.loads.begin(), report.loads.end());
+    for (const auto& [upstream, load] : p.loads)
+    {
+        sums_[upstream] += load;
+        changed.push_back(upstream);
+    }
     return true;
 }
 
-void peer_loads::sweep(mono_time now)
+void peer_loads::forget(mono_time before, std::vector<std::uint64_t>& changed)
 {
-    std::erase_if(peers_, [&](const auto& it)
-                  { return now - it.second.heard > peer_timeout; });
+    std::erase_if(peers_,
+                  [&](const auto& it)
+                  {
+                      const bool is_silent = it.second.heard < before;
+                      if (is_silent)
+                          take_out(it.second, changed);
+                      return is_silent;
+                  });
+    if (peers_.empty())
+        sums_.clear();
 }
 
 policy::placed_load peer_loads::sum(std::uint64_t upstream) const
 {
-    policy::placed_load total;
-    for (const auto& [sender, p] : peers_)
-        if (const auto it = p.loads.find(upstream); it != p.loads.end())
-            total += it->second;
-    return total;
+    const auto it = sums_.find(upstream);
+    return it == sums_.end() ? policy::placed_load() : it->second;
 }
 
 load_exchange::load_exchange(asio::io_context& loop, fleet& upstreams,
@@ -164,8 +213,9 @@
     return {at.address().to_string(), at.port()};
 }
 
-void load_exchange::start()
+void load_exchange::start(load_exchange_hooks hooks)
 {
+    hooks_ = std::move(hooks);
     asio::co_spawn(loop_, send_regularly(), asio::detached);
     asio::co_spawn(loop_, receive(), asio::detached);
 }
@@ -197,6 +247,17 @@
                       shortest_interval, longest_interval);
 }
 
+std::size_t load_exchange::rounds() const
+{
+    return (peers_.size() + most_receivers - 1) / most_receivers;
+}
+
+duration load_exchange::peer_timeout() const
+{
+    return std::max(shortest_peer_timeout,
+                    interval() * std::int64_t(rounds_to_time_out * rounds()));
+}
+
 asio::awaitable<void> load_exchange::send_regularly()
 {
     asio::steady_timer timer(loop_);
@@ -204,8 +265,11 @@
     {
         timer.expires_after(interval());
         co_await timer.async_wait(asio::use_awaitable);
-        loads_.sweep(now());
-        update_fleet();
+        const mono_time silent = now() - peer_timeout();
+        std::vector<std::uint64_t> changed;
+        loads_.forget(silent, changed);
+        update_fleet(changed);
+        hooks_.forgotten(silent);
         if (!peers_.empty())
             send();
     }
@@ -219,19 +283,25 @@
     for (const auto& [id, u] : upstreams_.all())
         if (!is_zero(u->placed.own))
             report.loads.emplace_back(u->key, u->placed.own);
-    report.parts = std::exchange(parts_, {});
+    sent_parts_.push_back(std::exchange(parts_, {}));
+    while (sent_parts_.size() > std::max<std::size_t>(rounds(), 1))
+        sent_parts_.pop_front();
+    for (const auto& it : sent_parts_)
+        report.parts.insert(report.parts.end(), it.begin(), it.end());
     const bool is_idle = report.loads.empty() && report.parts.empty();
     if (is_idle && was_idle_ && now() - sent_ < idle_interval)
         return;
     was_idle_ = is_idle;
     sent_ = now();
     report.number = ++number_;
+    hooks_.before_send(report);
     const std::string bytes = encode_load_report(report);
-    for (const auto& it : peers_)
+    for (std::size_t n = std::min(peers_.size(), most_receivers); n > 0; --n)
     {
+        next_peer_ = (next_peer_ + 1) % peers_.size();
         // A report that cannot be sent now is replaced by the next.
         error_code ignored;
-        socket_.send_to(asio::buffer(bytes), it, 0, ignored);
+        socket_.send_to(asio::buffer(bytes), peers_[next_peer_], 0, ignored);
     }
 }
 
@@ -264,18 +334,21 @@
 
 void load_exchange::take(const load_report& report)
 {
-    if (!loads_.apply(report, now()))
+    std::vector<std::uint64_t> changed;
+    if (!loads_.apply(report, now(), changed))
         return;
+    hooks_.heard(report);
     for (const load_report_part& it : report.parts)
         if (const upstream_ptr u = upstreams_.find_key(it.upstream))
             u->placed.cache.add({&it.part, 1}, now() + it.ready_in);
-    update_fleet();
+    update_fleet(changed);
 }
 
-void load_exchange::update_fleet()
+void load_exchange::update_fleet(const std::vector<std::uint64_t>& changed)
 {
-    for (const auto& [id, u] : upstreams_.all())
-        u->placed.others = loads_.sum(u->key);
+    for (const std::uint64_t key : changed)
+        if (const upstream_ptr u = upstreams_.find_key(key))
+            u->placed.others = loads_.sum(key);
 }
 
 } // namespace poplar::gateway
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -12,7 +12,10 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -26,6 +29,13 @@
     duration ready_in{}; ///< Until the engine has read it.
 };
 
+/// What a gateway knows of objects in the store.
+struct followed_state
+{
+    std::uint64_t digest = 0;
+    duration age{}; ///< Since its confirmation.
+};
+
 struct load_report
 {
     std::string sender;
@@ -33,6 +43,17 @@
     std::uint64_t number = 0;
     std::vector<std::pair<std::uint64_t, policy::placed_load>> loads;
     std::vector<load_report_part> parts;
+    std::optional<followed_state> configuration;
+    std::optional<followed_state> upstreams;
+};
+
+/// Connects the reports to what else gateways tell each other.
+struct load_exchange_hooks
+{
+    std::function<void(load_report&)> before_send;
+    std::function<void(const load_report&)> heard;
+    /// Gateways last heard before are no longer counted.
+    std::function<void(mono_time before)> forgotten;
 };
 
 std::string encode_load_report(const load_report& report);
@@ -43,10 +64,12 @@
 class peer_loads
 {
 public:
-    /// False when it is older than one that came before.
-    bool apply(const load_report& report, mono_time now);
-    /// Forgets gateways that have been silent.
-    void sweep(mono_time now);
+    /// False when it is older than one that came before. Adds the upstreams
+    /// whose sums may have changed.
+    bool apply(const load_report& report, mono_time now,
+               std::vector<std::uint64_t>& changed);
+    /// Forgets gateways that were last heard before.
+    void forget(mono_time before, std::vector<std::uint64_t>& changed);
     policy::placed_load sum(std::uint64_t upstream) const;
     std::size_t size() const
     {
@@ -62,7 +85,11 @@
         absl::flat_hash_map<std::uint64_t, policy::placed_load> loads;
     };
 
+    void take_out(const peer& p, std::vector<std::uint64_t>& changed);
+
     std::map<std::string, peer> peers_;
+    /// Of all peers. A report changes few of them.
+    absl::flat_hash_map<std::uint64_t, policy::placed_load> sums_;
 };
 
 /// Used on the gateway's loop only.
@@ -73,7 +100,7 @@
     load_exchange(asio::io_context& loop, fleet& upstreams, std::string sender,
                   const ip_address& listen);
 
-    void start();
+    void start(load_exchange_hooks hooks);
     /// Replaces the gateways that reports are sent to.
     void set_peers(const std::vector<ip_address>& peers);
     /// Reports that the engine will have read these parts in `ready_in`.
@@ -91,8 +118,12 @@
     asio::awaitable<void> receive();
     void send();
     void take(const load_report& report);
-    void update_fleet();
+    void update_fleet(const std::vector<std::uint64_t>& changed);
     duration interval() const;
+    /// Reports after which each peer has been sent one.
+    std::size_t rounds() const;
+    /// A gateway that was silent for longer is no longer counted.
+    duration peer_timeout() const;
 
     fleet& upstreams_;
     const std::string sender_;
@@ -100,6 +131,10 @@
     asio::io_context& loop_;
     asio::ip::udp::socket socket_;
     std::vector<asio::ip::udp::endpoint> peers_;
+    load_exchange_hooks hooks_;
+    std::size_t next_peer_ = 0;
+    /// Those of the last reports, so that each peer hears of all.
+    std::deque<std::vector<load_report_part>> sent_parts_;
     std::vector<load_report_part> parts_; ///< Since the last report.
     peer_loads loads_;
     std::uint64_t number_ = 0;
--- a/gateway/settings.cpp
+++ b/gateway/settings.cpp
@@ -37,6 +37,7 @@
     t.apply = table.time("apply", t.apply, milliseconds(100), minutes(1));
     t.heartbeat =
         table.time("heartbeat", t.heartbeat, milliseconds(10), minutes(1));
+    t.drain = table.time("drain", t.drain, milliseconds(100), minutes(1));
     t.close_delay =
         table.time("close_delay", t.close_delay, milliseconds(0), minutes(1));
     t.drain_limit =
--- a/gateway/settings.hpp
+++ b/gateway/settings.hpp
@@ -34,6 +34,9 @@
     /// Between two registrations of an upstream; its entry lapses after three
     /// that are missing.
     duration heartbeat = std::chrono::milliseconds(1200);
+    /// Requests reach an upstream no later than this after the store has said
+    /// that it drains.
+    duration drain = std::chrono::milliseconds(2000);
     /// Between the end of readiness and the refusal of new requests, so that
     /// the load balancer notices first.
     duration close_delay = std::chrono::milliseconds(2900);
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -67,7 +67,7 @@
 
 upstream_call::upstream_call(connection_pool& pool, call_request request)
     : pool_(pool), request_(std::move(request)),
-      end_(now() + request_.time_limit)
+      end_(now() + request_.time_limit), step_end_(end_)
 {
 }
 
@@ -109,10 +109,10 @@
         return call_status::canceled;
     if (!ec)
         return call_status::ok;
-    if (is_stalled_)
+    const bool is_late = ec == beast::error::timeout;
+    if (is_stalled_ || (is_late && step_end_ < end_))
         return call_status::stalled;
-    return ec == beast::error::timeout ? call_status::timed_out
-                                       : call_status::broken;
+    return is_late ? call_status::timed_out : call_status::broken;
 }
 
 asio::awaitable<call_status> upstream_call::start()
@@ -227,12 +227,14 @@
     return n ? std::optional<std::uint64_t>(*n) : std::nullopt;
 }
 
-asio::awaitable<call_status> upstream_call::read_some(std::string& body,
-                                                      bool& is_end)
+asio::awaitable<call_status>
+upstream_call::read_some(std::string& body, bool& is_end, mono_time limit)
 {
     is_end = parser_->is_done();
     if (is_end)
         co_return call_status::ok;
+    step_end_ = std::min(end_, limit);
+    connection_->stream.expires_at(step_end_);
     const std::size_t before = body.size();
     body.resize(before + read_size);
     auto& piece = parser_->get().body();
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -73,8 +73,10 @@
     /// Length of the body as stated by the answer.
     std::optional<std::uint64_t> body_length() const;
 
-    /// Appends what has arrived of the body; sets `is_end` at its end.
-    asio::awaitable<call_status> read_some(std::string& body, bool& is_end);
+    /// Appends what has arrived of the body; sets `is_end` at its end. Without
+    /// bytes until `limit` the call counts as stalled.
+    asio::awaitable<call_status> read_some(std::string& body, bool& is_end,
+                                           mono_time limit = mono_time::max());
     /// Reads the whole body; a longer one counts as broken.
     asio::awaitable<call_status> read_all(std::string& body,
                                           std::size_t max_size);
@@ -107,6 +109,7 @@
     connection_pool& pool_;
     call_request request_;
     mono_time end_;
+    mono_time step_end_; ///< Of the step in progress; end_ at the latest.
     connection_ptr connection_;
     std::shared_ptr<outgoing> outgoing_;
     std::optional<parser> parser_;
--- a/store/watcher.cpp
+++ b/store/watcher.cpp
@@ -1,5 +1,6 @@
 #include "store/watcher.hpp"
 
+#include "base/digest.hpp"
 #include "observe/log.hpp"
 
 #include <algorithm>
@@ -16,6 +17,11 @@
 constexpr unsigned max_doublings = 16;
 constexpr duration first_poll = std::chrono::milliseconds(1);
 
+std::uint64_t digest_of(const object_key& key, object_version version)
+{
+    return digest(key.value, version.value);
+}
+
 } // namespace
 
 watcher::watcher(object_store& store, watcher_options options,
@@ -74,22 +80,70 @@
     }
     else
     {
-        // After an outage the first answer comes at once, so that the return
-        // of the platform is known.
         object_list changes =
-            store_.watch(options_.prefix, revision_,
-                         connected() ? options_.poll : first_poll);
+            store_.watch(options_.prefix, revision_, wait_for_need());
         const bool has_changes = !changes.objects.empty();
         report(std::move(changes.objects));
         revision_ = changes.revision;
         failures_ = 0;
         set_connected(true);
+        confirm();
         if (has_changes)
             pause(options_.gather);
         return;
     }
     failures_ = 0;
     set_connected(true);
+    confirm();
+}
+
+/// After an outage the first answer comes at once, so that the return of the
+/// store is known.
+duration watcher::wait_for_need()
+{
+    absl::MutexLock lock(&mutex_);
+    if (!connected_)
+        return first_poll;
+    const auto must_call = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+    {
+        return stopping_ || leads_ || is_behind_;
+    };
+    const auto time_left = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+    {
+        return state_.confirmed + options_.confirmed_for - now();
+    };
+    while (!must_call() && time_left() > duration::zero())
+        mutex_.AwaitWithTimeout(absl::Condition(&must_call),
+                                absl::Microseconds(time_left().count()));
+    const bool was_behind = std::exchange(is_behind_, false);
+    return leads_ && !was_behind ? options_.poll : first_poll;
+}
+
+void watcher::confirm()
+{
+    absl::MutexLock lock(&mutex_);
+    state_.confirmed = now();
+}
+
+watched_state watcher::state() const
+{
+    absl::MutexLock lock(&mutex_);
+    return state_;
+}
+
+void watcher::compare(const watched_state& other)
+{
+    absl::MutexLock lock(&mutex_);
+    if (other.digest == state_.digest)
+        state_.confirmed = std::max(state_.confirmed, other.confirmed);
+    else if (other.confirmed > state_.confirmed)
+        is_behind_ = true;
+}
+
+void watcher::set_leading(bool leads)
+{
+    absl::MutexLock lock(&mutex_);
+    leads_ = leads;
 }
 
 /// Objects that are known but no longer listed were removed between two
@@ -117,6 +171,13 @@
         if (is_removed ? known == known_.end()
                        : known != known_.end() && known->second >= it.version)
             continue;
+        {
+            absl::MutexLock lock(&mutex_);
+            if (known != known_.end())
+                state_.digest ^= digest_of(it.key, known->second);
+            if (!is_removed)
+                state_.digest ^= digest_of(it.key, it.version);
+        }
         if (is_removed)
             known_.erase(known);
         else
--- a/store/watcher.hpp
+++ b/store/watcher.hpp
@@ -28,6 +28,17 @@
     /// watchers of many processes do not return together after an outage.
     duration shortest_pause = std::chrono::milliseconds(100);
     duration longest_pause = std::chrono::seconds(5);
+    /// Unless it leads, the watcher calls the store only when its state has not
+    /// been confirmed for this long. Zero: it always calls.
+    duration confirmed_for = duration::zero();
+};
+
+/// What a watcher knows, to be compared with others that follow the same
+/// objects.
+struct watched_state
+{
+    std::uint64_t digest = 0; ///< Of all keys and versions.
+    mono_time confirmed{};    ///< The store was in this state then.
 };
 
 /// Called on the watcher's thread; must not throw.
@@ -56,6 +67,12 @@
     watcher& operator=(const watcher&) = delete;
 
     bool connected() const;
+    watched_state state() const;
+    /// State of another watcher. An equal one confirms that of this watcher; a
+    /// different one that was confirmed later makes it call the store.
+    void compare(const watched_state& other);
+    /// A watcher that leads always has a call waiting at the store.
+    void set_leading(bool leads);
 
 private:
     void run();
@@ -67,6 +84,10 @@
     void pause_after_failure();
     void pause(duration d);
     bool stopping() const;
+    /// Returns when the store is to be called; the time that the call waits
+    /// for changes.
+    duration wait_for_need();
+    void confirm();
 
     object_store& store_;
     const watcher_options options_;
@@ -82,6 +103,9 @@
     mutable absl::Mutex mutex_;
     bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
     bool connected_ ABSL_GUARDED_BY(mutex_) = false;
+    bool leads_ ABSL_GUARDED_BY(mutex_) = true;
+    bool is_behind_ ABSL_GUARDED_BY(mutex_) = false;
+    watched_state state_ ABSL_GUARDED_BY(mutex_);
     std::thread thread_;
 };
 
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -29,8 +29,13 @@
     load_report r = report_of(1, 2, 3);
     r.loads[0].second.reading[1] = token_count(500);
     r.parts = {{7, {99, token_count(800)}, milliseconds(40)}};
+    r.configuration = followed_state{12, milliseconds(70)};
     const load_report back = decode_load_report(encode_load_report(r));
     EXPECT_EQ(back.sender, "a");
+    ASSERT_TRUE(back.configuration);
+    EXPECT_EQ(back.configuration->digest, 12U);
+    EXPECT_EQ(back.configuration->age, duration(milliseconds(70)));
+    EXPECT_FALSE(back.upstreams);
     EXPECT_EQ(back.number, 2U);
     ASSERT_EQ(back.loads.size(), 1U);
     EXPECT_EQ(back.loads[0].second.runs, 3U);
@@ -57,21 +62,58 @@
 {
     peer_loads loads;
     const mono_time t{};
-    EXPECT_TRUE(loads.apply(report_of(1, 5, 2), t));
-    EXPECT_FALSE(loads.apply(report_of(1, 4, 9), t));
+    std::vector<std::uint64_t> changed;
+    EXPECT_TRUE(loads.apply(report_of(1, 5, 2), t, changed));
+    EXPECT_FALSE(loads.apply(report_of(1, 4, 9), t, changed));
     EXPECT_EQ(loads.sum(7).runs, 2U);
-    EXPECT_TRUE(loads.apply(report_of(2, 1, 1), t));
+    EXPECT_TRUE(loads.apply(report_of(2, 1, 1), t, changed));
     EXPECT_EQ(loads.sum(7).runs, 1U);
 }
 
 TEST(peer_loads, forget_a_silent_gateway)
 {
     peer_loads loads;
-    loads.apply(report_of(1, 1, 2), mono_time{});
-    loads.sweep(mono_time(seconds(1)));
+    std::vector<std::uint64_t> changed;
+    loads.apply(report_of(1, 1, 2), mono_time(seconds(1)), changed);
+    loads.forget(mono_time(seconds(1)), changed);
     EXPECT_EQ(loads.sum(7).runs, 2U);
-    loads.sweep(mono_time(seconds(2)));
+    changed.clear();
+    loads.forget(mono_time(seconds(2)), changed);
     EXPECT_EQ(loads.sum(7).runs, 0U);
+    EXPECT_EQ(changed, std::vector<std::uint64_t>{7});
+}
+
+// The sums are kept from report to report; work that is gone must leave them.
+RC_GTEST_PROP(peer_load_sums, equal_the_latest_reports, ())
+{
+    peer_loads loads;
+    std::map<std::string, std::map<std::uint64_t, unsigned>> latest;
+    std::vector<std::uint64_t> changed;
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int n = 1; n <= steps; ++n)
+    {
+        load_report r;
+        r.sender = std::string(1, char('a' + *rc::gen::inRange(0, 4)));
+        r.process = 1;
+        r.number = std::uint64_t(n);
+        auto& own = latest[r.sender];
+        own.clear();
+        for (std::uint64_t u = 0; u < 5; ++u)
+            if (*rc::gen::inRange(0, 2) == 1)
+            {
+                own[u] = unsigned(*rc::gen::inRange(1, 9));
+                r.loads.emplace_back(u, policy::placed_load{.runs = own[u]});
+            }
+        loads.apply(r, mono_time{}, changed);
+    }
+    for (std::uint64_t u = 0; u < 5; ++u)
+    {
+        unsigned expected = 0;
+        for (const auto& [sender, own] : latest)
+            if (const auto it = own.find(u); it != own.end())
+                expected += it->second;
+        RC_ASSERT(loads.sum(u).runs == expected);
+    }
 }
 
 } // namespace
--- /dev/null
+++ b/tests/gateway/watch_sharing_test.cpp
@@ -0,0 +1,78 @@
+// Guards against fleets without a gateway that follows the store, and against
+// gateways that go on relying on one that is gone.
+#include "gateway/watch_sharing.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+#include <vector>
+
+namespace poplar::gateway
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration known_for = seconds(3);
+constexpr std::uint64_t topic = 7;
+
+TEST(watch_sharing, leads_alone)
+{
+    EXPECT_TRUE(watch_sharing("a", topic, known_for).leads());
+}
+
+// Every subset that hears each other has exactly one leader.
+RC_GTEST_PROP(watch_sharing_groups, have_one_leader,
+              (const std::set<std::string>& names))
+{
+    RC_PRE(!names.empty());
+    int leaders = 0;
+    for (const std::string& self : names)
+    {
+        watch_sharing w(self, topic, known_for);
+        for (const std::string& other : names)
+            if (other != self)
+                w.heard(other, milliseconds(100), mono_time(seconds(1)));
+        leaders += w.leads() ? 1 : 0;
+    }
+    RC_ASSERT(leaders == 1);
+}
+
+struct lost_leader_case
+{
+    const char* name;
+    bool is_silent; ///< Else its own state is old.
+};
+
+class lost_leader : public testing::TestWithParam<lost_leader_case>
+{
+};
+
+TEST_P(lost_leader, is_replaced)
+{
+    const std::vector<std::string> names{"a", "b", "c", "d"};
+    for (const std::string& self : names)
+    {
+        watch_sharing w(self, topic, known_for);
+        for (const std::string& other : names)
+            if (other != self)
+                w.heard(other, milliseconds(100), mono_time(seconds(1)));
+        if (GetParam().is_silent)
+            w.forget(mono_time(seconds(2)));
+        else
+            for (const std::string& other : names)
+                w.heard(other, known_for, mono_time(seconds(2)));
+        EXPECT_TRUE(w.leads()) << self;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(ways, lost_leader,
+                         testing::Values(lost_leader_case{"silent", true},
+                                         lost_leader_case{"cut_from_store",
+                                                          false}),
+                         [](const auto& it) { return it.param.name; });
+
+} // namespace
+} // namespace poplar::gateway
--- a/tests/platform/gateway_lifecycle_test.cpp
+++ b/tests/platform/gateway_lifecycle_test.cpp
@@ -79,6 +79,76 @@
     EXPECT_EQ(u.heads().size(), 1U);
 }
 
+// A request whose head had been read, but not its body, was cut without an
+// answer when no other request was open.
+TEST_F(gateway_test, answers_a_request_that_is_being_read_when_it_ends)
+{
+    scripted_upstream u(
+        [](const std::string& head) -> scripted_answer
+        { return {whole_answer(200, field_of(head, "Attempt-Id"), "x")}; });
+    add_upstream("i-1", u.address(), "desk");
+    start();
+    scripted_caller slow(gateway_->address());
+    slow.send("POST /once/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n"
+              "Deadline-Ms: 3000\r\nContent-Length: 20\r\n\r\n0123456789");
+    std::this_thread::sleep_for(milliseconds(50));
+    std::thread shutdown(
+        [this]
+        {
+            gateway_->drain();
+            gateway_.reset();
+        });
+    std::this_thread::sleep_for(milliseconds(700));
+    slow.send("0123456789");
+    const std::string answer = slow.read_until("\r\n\r\n");
+    EXPECT_EQ(status_of(answer), "503");
+    shutdown.join();
+    EXPECT_TRUE(u.heads().empty());
+}
+
+// Requests that came just before the end of the shutdown were accepted and then
+// cut without an answer: callers keep opening connections until none is taken.
+TEST_F(gateway_test, answers_all_requests_of_a_burst_while_it_ends)
+{
+    scripted_upstream u(
+        [](const std::string& head) -> scripted_answer
+        { return {whole_answer(200, field_of(head, "Attempt-Id"), "x")}; });
+    add_upstream("i-1", u.address(), "desk");
+    start();
+    const ip_address at = gateway_->address();
+    std::atomic<unsigned> answered = 0;
+    std::atomic<unsigned> cut = 0;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 8; ++i)
+        callers.emplace_back(
+            [&, i]
+            {
+                for (int n = 0; n < 2000; ++n)
+                    try
+                    {
+                        scripted_caller c(at);
+                        c.send(
+                            request("/once/x", std::to_string(i * 10000 + n)));
+                        const std::string text = c.read_until("\r\n\r\n");
+                        if (status_of(text) == "none" && !text.empty())
+                            ++cut;
+                        else if (!text.empty())
+                            ++answered;
+                    }
+                    catch (const std::exception&)
+                    {
+                        return; // No connection is taken any more.
+                    }
+            });
+    std::this_thread::sleep_for(milliseconds(100));
+    gateway_->drain();
+    gateway_.reset();
+    for (std::thread& it : callers)
+        it.join();
+    EXPECT_GT(answered, 100U);
+    EXPECT_EQ(cut, 0U);
+}
+
 TEST_F(gateway_test, takes_over_changed_limits_while_running)
 {
     scripted_upstream u(
--- /dev/null
+++ b/tests/platform/gateway_sharing_test.cpp
@@ -0,0 +1,203 @@
+// Guards against changes that reach a gateway late when others follow the store
+// for it, and against calls to the store that grow with the fleet.
+#include "gateway/gateway.hpp"
+#include "store/memory_store.hpp"
+#include "tests/platform/gateway_fixture.hpp"
+
+#include <atomic>
+
+namespace poplar::gateway
+{
+namespace
+{
+
+/// The store as one gateway reaches it; counts its calls.
+class reached_store : public store::object_store
+{
+public:
+    reached_store(store::object_store& behind, std::atomic<unsigned>& calls)
+        : behind_(behind), calls_(calls)
+    {
+    }
+
+    store::object get(const object_key& key) override
+    {
+        reach();
+        return behind_.get(key);
+    }
+    store::put_result put(const object_key& key, const std::string& value,
+                          object_version expected) override
+    {
+        reach();
+        return behind_.put(key, value, expected);
+    }
+    store::put_result remove(const object_key& key,
+                             object_version expected) override
+    {
+        reach();
+        return behind_.remove(key, expected);
+    }
+    store::object_list list(const std::string& prefix) override
+    {
+        reach();
+        return behind_.list(prefix);
+    }
+    store::object_list watch(const std::string& prefix, object_version after,
+                             duration timeout) override
+    {
+        reach();
+        // Short waits, so that a cut and an end show soon.
+        const mono_time end = now() + timeout;
+        while (true)
+        {
+            auto changes = behind_.watch(prefix, after, milliseconds(20));
+            if (is_ending_)
+                throw store::watches_stopped();
+            check_cut();
+            if (!changes.objects.empty() || now() >= end)
+                return changes;
+        }
+    }
+    std::vector<store::instance_record> instances() override
+    {
+        return behind_.instances();
+    }
+    void stop_watches() override
+    {
+        is_ending_ = true;
+    }
+
+    std::atomic<bool> is_cut = false;
+
+private:
+    void check_cut() const
+    {
+        if (is_cut)
+            throw store::store_error(store::store_failure::unavailable, "cut");
+    }
+    void reach()
+    {
+        ++calls_;
+        check_cut();
+    }
+
+    store::object_store& behind_;
+    std::atomic<unsigned>& calls_;
+    std::atomic<bool> is_ending_ = false;
+};
+
+class gateway_fleet : public testing::Test
+{
+protected:
+    void start(std::size_t count)
+    {
+        put("config/main", configuration_json(1));
+        add_upstream("i-1", 1);
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            stores_.push_back(std::make_unique<reached_store>(store_, calls_));
+            gateway_settings s;
+            const ip_address any{"127.0.0.1", 0};
+            s.instance = instance_id("g" + std::to_string(i));
+            s.listen = s.ready = s.admin = s.peer = any;
+            s.timeouts.close_delay = milliseconds(0);
+            gateways_.push_back(std::make_unique<gateway>(s, *stores_.back()));
+        }
+        // Until the registrations have been gathered.
+        std::this_thread::sleep_for(seconds(6));
+    }
+    void put(const std::string& key, const json& value)
+    {
+        const object_key k(key);
+        store_.put(k, value.dump(), store_.get(k).version);
+    }
+    void add_upstream(const std::string& id, std::uint16_t port)
+    {
+        put("servers/" + id,
+            json{{"service", "desk"},
+                 {"address", "127.0.0.1:" + std::to_string(port)},
+                 {"zone", "z"},
+                 {"slots", 8},
+                 {"state", "ready"},
+                 {"born", 1}});
+    }
+    static std::string fetch(const gateway& g, const std::string& path)
+    {
+        scripted_caller c(g.address());
+        c.send("GET " + path +
+               " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n"
+               "Deadline-Ms: 1000\r\n\r\n");
+        return status_of(c.read_until("\r\n\r\n"));
+    }
+    /// Drops the first route; true when all gateways but the one left out have
+    /// done so in time.
+    bool is_applied_in_time(int version, std::size_t except = 99)
+    {
+        json config = configuration_json(version);
+        config["routes"].erase(0);
+        config["routes"].push_back(
+            route_json(("/v" + std::to_string(version) + "/").c_str(), "none",
+                       "idempotent"));
+        put("config/main", config);
+        const mono_time end = now() + gateway_timeouts().apply;
+        const std::string path = "/v" + std::to_string(version) + "/x";
+        for (std::size_t i = 0; i < gateways_.size(); ++i)
+            while (i != except && gateways_[i] &&
+                   fetch(*gateways_[i], path) != "503")
+            {
+                if (now() > end)
+                    return false;
+                std::this_thread::sleep_for(milliseconds(10));
+            }
+        return now() < end;
+    }
+
+    store::memory_store store_;
+    std::atomic<unsigned> calls_ = 0;
+    std::vector<std::unique_ptr<reached_store>> stores_;
+    std::vector<std::unique_ptr<gateway>> gateways_;
+};
+
+TEST_F(gateway_fleet, calls_the_store_no_more_often_than_one_gateway)
+{
+    start(6);
+    const unsigned before = calls_;
+    std::this_thread::sleep_for(seconds(6));
+    // Two watches of a leader in 6 s, each a third of the 2 s for a change,
+    // with a takeover and one watch of registrations for each gateway.
+    EXPECT_LE(calls_ - before, 2U * 9 + 6 + 4);
+    EXPECT_GE(calls_ - before, 2U * 6);
+}
+
+TEST_F(gateway_fleet, takes_changes_over_in_time)
+{
+    start(6);
+    for (int version = 2; version < 6; ++version)
+        EXPECT_TRUE(is_applied_in_time(version));
+}
+
+// Whichever gateway led, the others must notice.
+TEST_F(gateway_fleet, takes_changes_over_in_time_when_one_ends)
+{
+    start(5);
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        gateways_[i].reset();
+        EXPECT_TRUE(is_applied_in_time(int(i) + 2)) << i;
+    }
+}
+
+TEST_F(gateway_fleet, takes_changes_over_in_time_when_one_is_cut_from_the_store)
+{
+    start(5);
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        stores_[i]->is_cut = true;
+        EXPECT_TRUE(is_applied_in_time(int(i) + 2, i)) << i;
+        stores_[i]->is_cut = false;
+        std::this_thread::sleep_for(seconds(1));
+    }
+}
+
+} // namespace
+} // namespace poplar::gateway
--- a/tests/platform/scripted_upstream.cpp
+++ b/tests/platform/scripted_upstream.cpp
@@ -80,6 +80,12 @@
     return connections_.size();
 }
 
+std::size_t scripted_upstream::sent_in_pieces() const
+{
+    absl::MutexLock lock(&mutex_);
+    return sent_in_pieces_;
+}
+
 unsigned scripted_upstream::abandoned() const
 {
     absl::MutexLock lock(&mutex_);
@@ -157,12 +163,30 @@
             break;
         }
         ::send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
-        if (answer.closes)
+        if (!send_pieces(socket, answer) || answer.closes)
             break;
     }
     ::close(socket);
 }
 
+bool scripted_upstream::send_pieces(int socket, const scripted_answer& answer)
+{
+    const auto send_piece = [&](const std::string& piece)
+    {
+        if (!wait_open(socket, answer.pause) ||
+            ::send(socket, piece.data(), piece.size(), MSG_NOSIGNAL) !=
+                ssize_t(piece.size()))
+            return false;
+        absl::MutexLock lock(&mutex_);
+        sent_in_pieces_ += piece.size();
+        return !is_ending_;
+    };
+    bool is_open = std::ranges::all_of(answer.pieces, send_piece);
+    while (is_open && answer.has_no_end)
+        is_open = send_piece(answer.pieces.back());
+    return is_open;
+}
+
 std::string field_of(const std::string& head, const std::string& name)
 {
     const auto at = head.find("\r\n" + name + ": ");
--- a/tests/platform/scripted_upstream.hpp
+++ b/tests/platform/scripted_upstream.hpp
@@ -20,6 +20,11 @@
     bool closes = false;
     bool resets = false;
     duration delay{}; ///< Before the bytes.
+    /// After the bytes, each after the pause.
+    std::vector<std::string> pieces;
+    duration pause{};
+    /// The last piece comes again until the other side closes.
+    bool has_no_end = false;
 };
 
 class scripted_upstream
@@ -39,12 +44,16 @@
     std::size_t connections() const;
     /// Connections that the other side closed while an answer was delayed.
     unsigned abandoned() const;
+    /// Bytes of pieces that could be sent.
+    std::size_t sent_in_pieces() const;
 
 private:
     void accept_all();
     void serve(int socket);
     /// Waits; false when the other side closed.
     bool wait_open(int socket, duration d) const;
+    /// False when the other side closed.
+    bool send_pieces(int socket, const scripted_answer& answer);
 
     const script answer_;
     int listener_;
@@ -52,6 +61,7 @@
     bool is_ending_ ABSL_GUARDED_BY(mutex_) = false;
     std::vector<std::string> heads_ ABSL_GUARDED_BY(mutex_);
     unsigned abandoned_ ABSL_GUARDED_BY(mutex_) = 0;
+    std::size_t sent_in_pieces_ ABSL_GUARDED_BY(mutex_) = 0;
     std::vector<std::thread> connections_ ABSL_GUARDED_BY(mutex_);
     std::thread acceptor_;
 };
