Gateway: only what the store itself confirmed is passed on to other gateways

Cause: gateways told each other confirmations that they had from others. Ruled out: the gathering of entries, a quarter of the drain time. Change: a state's first-hand confirmation is kept apart from that of others. A gateway counts from its first load report on, so that registrations may be gathered for 10 s; the retry budget is divided by those heard if they are more. Engines' kept parts are matched once for a plan, and only those that keep enough are looked at as sources.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -27,7 +27,7 @@
 
 /// A late registration only delays the exchange of load reports.
 constexpr duration registration_watch = std::chrono::seconds(25);
-constexpr duration registration_gather = std::chrono::seconds(4);
+constexpr duration registration_gather = std::chrono::seconds(10);
 /// Of the time in which a change must be in force, the part that a state of the
 /// store counts as known for after its confirmation. A watch of the leading
 /// gateway confirms it several times within that.
@@ -307,8 +307,9 @@
 
 void gateway::share_retries()
 {
+    const std::size_t heard = state_.loads.heard_peers() + 1;
     state_.upstreams.set_retries(
-        retries_of(state_.settings.retries, gateways_.size()));
+        retries_of(state_.settings.retries, std::max(gateways_.size(), heard)));
 }
 
 asio::awaitable<void> gateway::learn_cache(upstream_ptr u)
@@ -446,6 +447,8 @@
         timer.expires_after(sweep_interval);
         co_await timer.async_wait(asio::use_awaitable);
         state_.upstreams.sweep(now());
+        if (!gateways_.empty())
+            share_retries();
     }
 }
 
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -321,7 +321,7 @@
             continue;
         try
         {
-            take(decode_load_report({buf.data(), n}));
+            take(decode_load_report({buf.data(), n}), from);
         }
         catch (const parse_error& failure)
         {
@@ -332,11 +332,14 @@
     }
 }
 
-void load_exchange::take(const load_report& report)
+void load_exchange::take(const load_report& report,
+                         const asio::ip::udp::endpoint& from)
 {
     std::vector<std::uint64_t> changed;
     if (!loads_.apply(report, now(), changed))
         return;
+    if (std::ranges::find(peers_, from) == peers_.end())
+        peers_.push_back(from);
     hooks_.heard(report);
     for (const load_report_part& it : report.parts)
         if (const upstream_ptr u = upstreams_.find_key(it.upstream))
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -117,7 +117,9 @@
     asio::awaitable<void> send_regularly();
     asio::awaitable<void> receive();
     void send();
-    void take(const load_report& report);
+    /// A gateway whose registration is not known yet counts from its first
+    /// report on.
+    void take(const load_report& report, const asio::ip::udp::endpoint& from);
     void update_fleet(const std::vector<std::uint64_t>& changed);
     duration interval() const;
     /// Reports after which each peer has been sent one.
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -139,15 +139,19 @@
     return cost;
 }
 
-std::vector<part_match>
+engine_placement::kept_parts
 engine_placement::match_all(engine_span engines,
                             const placed_request& request) const
 {
-    std::vector<part_match> kept;
-    for (const placed_engine* e : engines)
+    kept_parts kept;
+    kept.by_engine.reserve(engines.size());
+    for (std::size_t i = 0; i < engines.size(); ++i)
     {
-        kept.push_back(e->cache.match(request.parts));
-        kept.back().tokens = std::min(request.input, kept.back().tokens);
+        part_match m = engines[i]->cache.match(request.parts);
+        m.tokens = std::min(request.input, m.tokens);
+        if (engines[i]->usable && m.tokens >= settings_.shortest_fetch)
+            kept.sources.push_back(i);
+        kept.by_engine.push_back(m);
     }
     return kept;
 }
@@ -163,9 +167,10 @@
 
 placement_choice engine_placement::read_at(engine_span engines, std::size_t i,
                                            const placed_request& request,
-                                           const std::vector<part_match>& kept,
+                                           const kept_parts& parts,
                                            double rate) const
 {
+    const std::vector<part_match>& kept = parts.by_engine;
     const auto hold_for = [&](const part_match& m)
     {
         return std::max(0.0, seconds(m.ready_at - request.now));
@@ -197,10 +202,10 @@
         c.total_seconds = total;
     };
     consider(std::nullopt, token_count(0), 0);
-    for (std::size_t k = 0; k < engines.size(); ++k)
+    for (const std::size_t k : parts.sources)
     {
         const token_count more = kept[k].tokens - kept[i].tokens;
-        if (engines[k]->usable && more >= settings_.shortest_fetch)
+        if (more >= settings_.shortest_fetch)
             consider(k, more, move_seconds(more, *engines[k], *engines[i]));
     }
     if (is_set)
@@ -212,12 +217,10 @@
     return c;
 }
 
-std::optional<placement_choice>
-engine_placement::choose_prefill(engine_span engines,
-                                 const placed_request& request,
-                                 std::span<const std::size_t> excluded) const
+std::optional<placement_choice> engine_placement::choose_prefill(
+    engine_span engines, const placed_request& request,
+    std::span<const std::size_t> excluded, const kept_parts& kept) const
 {
-    const auto kept = match_all(engines, request);
     return cheapest(
         engines, request, excluded, placed_stage::prefill,
         [&](std::size_t i)
@@ -244,14 +247,12 @@
         });
 }
 
-std::optional<placement_choice>
-engine_placement::choose_whole(engine_span engines,
-                               const placed_request& request,
-                               std::span<const std::size_t> excluded) const
+std::optional<placement_choice> engine_placement::choose_whole(
+    engine_span engines, const placed_request& request,
+    std::span<const std::size_t> excluded, const kept_parts& kept) const
 {
     const double rate =
         rate_.tokens_per_second() * settings_.decode_read_factor;
-    const auto kept = match_all(engines, request);
     return cheapest(engines, request, excluded, placed_stage::decode,
                     [&](std::size_t i)
                     {
@@ -266,8 +267,9 @@
 engine_placement::plan(engine_span engines, const placed_request& request,
                        std::span<const std::size_t> excluded) const
 {
-    const auto whole = choose_whole(engines, request, excluded);
-    const auto prefill = choose_prefill(engines, request, excluded);
+    const kept_parts kept = match_all(engines, request);
+    const auto whole = choose_whole(engines, request, excluded, kept);
+    const auto prefill = choose_prefill(engines, request, excluded, kept);
     if (!prefill && !whole)
         return std::nullopt;
     if (!prefill)
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -169,12 +169,11 @@
 
     std::optional<placement_choice>
     choose_prefill(engine_span engines, const placed_request& request,
-                   std::span<const std::size_t> excluded) const;
-
-    /// A decode engine that reads the prompt itself.
-    std::optional<placement_choice>
-    choose_whole(engine_span engines, const placed_request& request,
-                 std::span<const std::size_t> excluded) const;
+                   std::span<const std::size_t> excluded) const
+    {
+        return choose_prefill(engines, request, excluded,
+                              match_all(engines, request));
+    }
 
     read_rate_estimate& read_rate()
     {
@@ -186,14 +185,29 @@
     }
 
 private:
-    /// What the engines keep of a prompt, in their order.
-    std::vector<part_match> match_all(engine_span engines,
-                                      const placed_request& request) const;
+    /// What the engines keep of a prompt.
+    struct kept_parts
+    {
+        std::vector<part_match> by_engine; ///< In their order.
+        /// Usable engines that keep enough to be fetched; few of many.
+        std::vector<std::size_t> sources;
+    };
+
+    kept_parts match_all(engine_span engines,
+                         const placed_request& request) const;
+    std::optional<placement_choice>
+    choose_prefill(engine_span engines, const placed_request& request,
+                   std::span<const std::size_t> excluded,
+                   const kept_parts& kept) const;
+    /// A decode engine that reads the prompt itself.
+    std::optional<placement_choice>
+    choose_whole(engine_span engines, const placed_request& request,
+                 std::span<const std::size_t> excluded,
+                 const kept_parts& kept) const;
     /// Expected reading at an engine that fetches what another keeps.
     placement_choice read_at(engine_span engines, std::size_t i,
                              const placed_request& request,
-                             const std::vector<part_match>& kept,
-                             double rate) const;
+                             const kept_parts& parts, double rate) const;
     double move_seconds(token_count tokens, const placed_engine& from,
                         const placed_engine& to) const;
     double decode_seconds(const placed_engine& e,
--- a/store/watcher.cpp
+++ b/store/watcher.cpp
@@ -110,7 +110,8 @@
     };
     const auto time_left = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
     {
-        return state_.confirmed + options_.confirmed_for - now();
+        return std::max(state_.confirmed, confirmed_by_others_) +
+               options_.confirmed_for - now();
     };
     while (!must_call() && time_left() > duration::zero())
         mutex_.AwaitWithTimeout(absl::Condition(&must_call),
@@ -135,8 +136,8 @@
 {
     absl::MutexLock lock(&mutex_);
     if (other.digest == state_.digest)
-        state_.confirmed = std::max(state_.confirmed, other.confirmed);
-    else if (other.confirmed > state_.confirmed)
+        confirmed_by_others_ = std::max(confirmed_by_others_, other.confirmed);
+    else if (other.confirmed > std::max(state_.confirmed, confirmed_by_others_))
         is_behind_ = true;
 }
 
@@ -173,6 +174,7 @@
             continue;
         {
             absl::MutexLock lock(&mutex_);
+            confirmed_by_others_ = {};
             if (known != known_.end())
                 state_.digest ^= digest_of(it.key, known->second);
             if (!is_removed)
--- a/store/watcher.hpp
+++ b/store/watcher.hpp
@@ -38,7 +38,10 @@
 struct watched_state
 {
     std::uint64_t digest = 0; ///< Of all keys and versions.
-    mono_time confirmed{};    ///< The store was in this state then.
+    /// The store itself gave this state then. What others confirmed is not
+    /// passed on: each hop adds its delay, and watchers would confirm each
+    /// other without any of them asking the store.
+    mono_time confirmed{};
 };
 
 /// Called on the watcher's thread; must not throw.
@@ -106,6 +109,7 @@
     bool leads_ ABSL_GUARDED_BY(mutex_) = true;
     bool is_behind_ ABSL_GUARDED_BY(mutex_) = false;
     watched_state state_ ABSL_GUARDED_BY(mutex_);
+    mono_time confirmed_by_others_ ABSL_GUARDED_BY(mutex_){};
     std::thread thread_;
 };
 
--- a/tests/watcher_test.cpp
+++ b/tests/watcher_test.cpp
@@ -243,5 +243,65 @@
     store.stop_watches();
 }
 
+/// Passes the states of watchers on to each other, each `delay` after it was
+/// taken, as reports of processes would.
+void exchange_states(std::vector<std::unique_ptr<watcher>>& watchers,
+                     duration length, duration delay)
+{
+    const mono_time end = now() + length;
+    while (now() < end)
+        for (const auto& from : watchers)
+        {
+            const watched_state s = from->state();
+            const duration age = now() - s.confirmed;
+            std::this_thread::sleep_for(delay);
+            for (const auto& to : watchers)
+                if (to != from)
+                    to->compare({s.digest, now() - age});
+        }
+}
+
+// Gateways that did not follow the store themselves confirmed each other's
+// states, and a draining upstream was used for longer than it may be
+// (cnps-mx-grown trouble-1).
+TEST(watcher, asks_the_store_though_others_know_the_same)
+{
+    counting_store store;
+    store.put(object_key("a/1"), "x", object_version());
+    watcher_options options = quick("a/");
+    options.confirmed_for = milliseconds(300);
+    std::vector<std::unique_ptr<watcher>> watchers;
+    for (int i = 0; i < 3; ++i)
+        watchers.push_back(std::make_unique<watcher>(
+            store, options, watcher_hooks{[](const object&) {}, nullptr}));
+    std::this_thread::sleep_for(milliseconds(100));
+    for (const auto& it : watchers)
+        it->set_leading(false);
+    // Calls that wait when the watchers stop leading end within 200 ms.
+    exchange_states(watchers, milliseconds(300), milliseconds(25));
+    const unsigned before = store.watches;
+    exchange_states(watchers, milliseconds(1500), milliseconds(25));
+    EXPECT_GE(store.watches - before, 3U);
+}
+
+// A state that another watcher has confirmed later makes it call at once.
+TEST(watcher, follows_a_state_that_is_newer)
+{
+    memory_store store;
+    recorder seen;
+    watcher_options options = quick("a/");
+    options.confirmed_for = seconds(30);
+    watcher leading(store, options, {[](const object&) {}, nullptr});
+    watcher other(store, options, seen.hooks());
+    std::this_thread::sleep_for(milliseconds(300));
+    other.set_leading(false);
+    std::this_thread::sleep_for(milliseconds(300)); // its last long call
+    store.put(object_key("a/1"), "x", object_version());
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_TRUE(seen.objects().empty());
+    other.compare(leading.state());
+    EXPECT_TRUE(seen.wait_for(1));
+}
+
 } // namespace
 } // namespace poplar::store
