Gateway: two gateways follow the store, and a state counts as known for less long

Change: two lead; a configuration counts as known for half of its bound, the upstreams for a third of the drain time, entries are gathered for a sixth.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -27,14 +27,17 @@
 
 /// A late registration only delays the exchange of load reports.
 constexpr duration registration_watch = std::chrono::seconds(25);
-constexpr duration registration_gather = std::chrono::seconds(10);
-/// Of the time in which a change must be in force, the part that a state of the
-/// store counts as known for after its confirmation. A watch of the leading
-/// gateway confirms it several times within that.
-constexpr double confirmed_share = 0.75;
-constexpr double leading_watch_share = 0.33;
+constexpr duration registration_gather = std::chrono::seconds(4);
+/// A state of the store counts as known for this part of the time in which a
+/// change must be in force, or an upstream must get no more requests. When the
+/// leading gateways fail, the others hear of a change that much later; the rest
+/// is for reports and calls on slow links.
+constexpr double configuration_share = 0.5;
+constexpr double upstream_share = 0.33;
+/// Of that time, the longest wait of a leading gateway's watch.
+constexpr double leading_watch_share = 0.6;
 /// Of the drain time, part that the entries of upstreams are gathered for.
-constexpr int drain_parts = 4;
+constexpr int drain_parts = 6;
 constexpr duration cache_list_limit = std::chrono::seconds(1);
 constexpr std::size_t max_cache_list = std::size_t(1) << 20; // bytes
 constexpr duration sweep_interval = std::chrono::milliseconds(250);
@@ -74,10 +77,19 @@
     return f;
 }
 
-duration confirmed_for(const gateway_settings& s)
+duration part_of(duration whole, double share)
 {
-    return policy::from_seconds(policy::seconds(s.timeouts.apply) *
-                                confirmed_share);
+    return policy::from_seconds(policy::seconds(whole) * share);
+}
+
+duration configuration_known_for(const gateway_settings& s)
+{
+    return part_of(s.timeouts.apply, configuration_share);
+}
+
+duration upstreams_known_for(const gateway_settings& s)
+{
+    return part_of(s.timeouts.drain, upstream_share);
 }
 
 std::optional<followed_state> followed_by(const store::watcher& w)
--- a/gateway/watch_sharing.cpp
+++ b/gateway/watch_sharing.cpp
@@ -31,9 +31,10 @@
 
 bool watch_sharing::leads() const
 {
-    return std::ranges::none_of(followers_,
-                                [own = weight(self_), this](const auto& it)
-                                { return weight(it.first) > own; });
+    const std::uint64_t own = weight(self_);
+    const auto before = std::ranges::count_if(
+        followers_, [&](const auto& it) { return weight(it.first) > own; });
+    return before < leaders;
 }
 
 std::uint64_t watch_sharing::weight(const std::string& sender) const
--- a/gateway/watch_sharing.hpp
+++ b/gateway/watch_sharing.hpp
@@ -1,4 +1,4 @@
-/// Decides which gateway asks the store for changes on behalf of all.
+/// Decides which gateways ask the store for changes on behalf of all.
 ///
 /// Answers to fleets in which each gateway's own watches would cost more calls
 /// to the store than the requests that they serve.
@@ -6,6 +6,7 @@
 
 #include "base/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -13,11 +14,14 @@
 namespace poplar::gateway
 {
 
-/// A gateway that hears of no other that follows the objects leads, so that
-/// each part of a split fleet has a leader; for a while there may be two.
+/// Several lead, so that changes are heard of at once when one of them is cut
+/// from the store. A gateway that hears of too few others that follow the
+/// objects leads, so that each part of a split fleet has leaders.
 class watch_sharing
 {
 public:
+    static constexpr std::ptrdiff_t leaders = 2;
+
     /// `topic` tells the objects that are followed. A state counts as known
     /// for `confirmed_for` after its confirmation.
     watch_sharing(std::string self, std::uint64_t topic,
