--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -117,10 +117,10 @@
                       { return answer_status(path); }),
       configuration_sharing_(settings.instance.value,
                              digest(platform::configuration_prefix),
-                             confirmed_for(settings)),
+                             configuration_known_for(settings)),
       upstream_sharing_(settings.instance.value,
                         digest(platform::upstream_prefix),
-                        confirmed_for(settings))
+                        upstreams_known_for(settings))
 {
     start_watchers();
     start_loop();
@@ -164,9 +164,8 @@
 {
     const gateway_timeouts& t = state_.settings.timeouts;
     store::watcher_options options;
-    options.poll =
-        policy::from_seconds(policy::seconds(t.apply) * leading_watch_share);
-    options.confirmed_for = confirmed_for(state_.settings);
+    options.confirmed_for = configuration_known_for(state_.settings);
+    options.poll = part_of(options.confirmed_for, leading_watch_share);
     options.longest_pause = std::chrono::milliseconds(500);
     options.prefix = platform::configuration_prefix;
     store::watcher_hooks hooks;
@@ -177,6 +176,8 @@
     configuration_watcher_ =
         std::make_unique<store::watcher>(store_, options, hooks);
     options.prefix = platform::upstream_prefix;
+    options.confirmed_for = upstreams_known_for(state_.settings);
+    options.poll = part_of(options.confirmed_for, leading_watch_share);
     options.gather = t.drain / drain_parts;
     hooks.changed = [this](const store::object& o)
     {
