Gateway: each gateway follows the upstreams itself again

Change: only the configuration is shared; a leading gateway reports also when it has no work. The watch of the upstreams is as it was.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -29,13 +29,14 @@
 constexpr duration registration_watch = std::chrono::seconds(25);
 constexpr duration registration_gather = std::chrono::seconds(4);
 /// A state of the store counts as known for this part of the time in which a
-/// change must be in force, or an upstream must get no more requests. When the
-/// leading gateways fail, the others hear of a change that much later; the rest
-/// is for reports and calls on slow links.
+/// change must be in force. When the leading gateways fail, the others hear of
+/// a change that much later; the rest is for reports and calls on slow links.
 constexpr double configuration_share = 0.5;
-constexpr double upstream_share = 0.33;
 /// Of that time, the longest wait of a leading gateway's watch.
 constexpr double leading_watch_share = 0.6;
+/// Of the time in which a change must be in force, the longest watch of the
+/// upstreams; a connection may have gone silent unnoticed.
+constexpr double upstream_watch_share = 0.75;
 /// Of the drain time, part that the entries of upstreams are gathered for.
 constexpr int drain_parts = 6;
 constexpr duration cache_list_limit = std::chrono::seconds(1);
@@ -87,11 +88,6 @@
     return part_of(s.timeouts.apply, configuration_share);
 }
 
-duration upstreams_known_for(const gateway_settings& s)
-{
-    return part_of(s.timeouts.drain, upstream_share);
-}
-
 std::optional<followed_state> followed_by(const store::watcher& w)
 {
     const store::watched_state s = w.state();
@@ -117,10 +113,7 @@
                       { return answer_status(path); }),
       configuration_sharing_(settings.instance.value,
                              digest(platform::configuration_prefix),
-                             configuration_known_for(settings)),
-      upstream_sharing_(settings.instance.value,
-                        digest(platform::upstream_prefix),
-                        upstreams_known_for(settings))
+                             configuration_known_for(settings))
 {
     start_watchers();
     start_loop();
@@ -176,8 +169,10 @@
     configuration_watcher_ =
         std::make_unique<store::watcher>(store_, options, hooks);
     options.prefix = platform::upstream_prefix;
-    options.confirmed_for = upstreams_known_for(state_.settings);
-    options.poll = part_of(options.confirmed_for, leading_watch_share);
+    // Each gateway follows the upstreams itself: what others have heard comes
+    // too late for one that drains, and outages of the store must be noticed.
+    options.confirmed_for = duration::zero();
+    options.poll = part_of(t.apply, upstream_watch_share);
     options.gather = t.drain / drain_parts;
     hooks.changed = [this](const store::object& o)
     {
@@ -229,31 +224,29 @@
 load_exchange_hooks gateway::sharing_hooks()
 {
     load_exchange_hooks hooks;
+    hooks.is_awaited = [this]
+    {
+        return configuration_sharing_.leads();
+    };
     hooks.before_send = [this](load_report& report)
     {
         if (!configuration_watcher_)
             return;
         report.configuration = followed_by(*configuration_watcher_);
-        report.upstreams = followed_by(*upstream_watcher_);
     };
     hooks.heard = [this](const load_report& report)
     {
         if (!configuration_watcher_)
             return;
         compare(*configuration_watcher_, report.configuration);
-        compare(*upstream_watcher_, report.upstreams);
         if (report.configuration)
             configuration_sharing_.heard(report.sender,
                                          report.configuration->age, now());
-        if (report.upstreams)
-            upstream_sharing_.heard(report.sender, report.upstreams->age,
-                                    now());
         share_watches();
     };
     hooks.forgotten = [this](mono_time before)
     {
         configuration_sharing_.forget(before);
-        upstream_sharing_.forget(before);
         share_watches();
     };
     return hooks;
@@ -264,7 +257,6 @@
     if (!configuration_watcher_)
         return;
     configuration_watcher_->set_leading(configuration_sharing_.leads());
-    upstream_watcher_->set_leading(upstream_sharing_.leads());
 }
 
 void gateway::on_configuration(const store::object& o)
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -81,7 +81,6 @@
     std::unique_ptr<store::watcher> gateway_watcher_;
     std::map<object_key, ip_address> gateways_; ///< Registered ones.
     watch_sharing configuration_sharing_;
-    watch_sharing upstream_sharing_;
     std::unique_ptr<engine_control> control_;
     std::thread thread_;
 };
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -104,13 +104,11 @@
                            clamp32(it.part.tokens.value),
                            clamp32(to_milliseconds(it.ready_in)));
     const auto configuration = to_wire(report.configuration);
-    const auto upstreams = to_wire(report.upstreams);
     builder.Finish(fb::Createload_report(
         builder, report_version, builder.CreateString(report.sender),
         report.process, report.number, builder.CreateVectorOfStructs(loads),
         builder.CreateVectorOfStructs(parts),
-        configuration ? &*configuration : nullptr,
-        upstreams ? &*upstreams : nullptr));
+        configuration ? &*configuration : nullptr));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -138,7 +136,6 @@
                  {it->part(), token_count(it->tokens())},
                  std::chrono::milliseconds(it->ready_in_ms())});
     report.configuration = from_wire(in->configuration());
-    report.upstreams = from_wire(in->upstreams());
     return report;
 }
 
@@ -288,7 +285,8 @@
         sent_parts_.pop_front();
     for (const auto& it : sent_parts_)
         report.parts.insert(report.parts.end(), it.begin(), it.end());
-    const bool is_idle = report.loads.empty() && report.parts.empty();
+    const bool is_idle =
+        report.loads.empty() && report.parts.empty() && !hooks_.is_awaited();
     if (is_idle && was_idle_ && now() - sent_ < idle_interval)
         return;
     was_idle_ = is_idle;
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -44,12 +44,13 @@
     std::vector<std::pair<std::uint64_t, policy::placed_load>> loads;
     std::vector<load_report_part> parts;
     std::optional<followed_state> configuration;
-    std::optional<followed_state> upstreams;
 };
 
 /// Connects the reports to what else gateways tell each other.
 struct load_exchange_hooks
 {
+    /// True when others wait for the reports of this gateway.
+    std::function<bool()> is_awaited;
     std::function<void(load_report&)> before_send;
     std::function<void(const load_report&)> heard;
     /// Gateways last heard before are no longer counted.
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -35,7 +35,6 @@
     ASSERT_TRUE(back.configuration);
     EXPECT_EQ(back.configuration->digest, 12U);
     EXPECT_EQ(back.configuration->age, duration(milliseconds(70)));
-    EXPECT_FALSE(back.upstreams);
     EXPECT_EQ(back.number, 2U);
     ASSERT_EQ(back.loads.size(), 1U);
     EXPECT_EQ(back.loads[0].second.runs, 3U);
--- a/tests/platform/gateway_sharing_test.cpp
+++ b/tests/platform/gateway_sharing_test.cpp
@@ -163,10 +163,10 @@
     start(6);
     const unsigned before = calls_;
     std::this_thread::sleep_for(seconds(6));
-    // Of each leader one call in 0.6 s for the configuration and one in 0.4 s
-    // for the upstreams; one watch of registrations for each gateway, and a few
-    // calls where reports come late.
-    EXPECT_LE(calls_ - before, 2U * (10 + 15) + 6 + 10);
+    // Each gateway has a watch of 1.5 s of the upstreams and one of the
+    // registrations; two leaders have one of 0.6 s of the configuration. A few
+    // calls are for reports that come late.
+    EXPECT_LE(calls_ - before, 6U * 4 + 6 + 2U * 10 + 6);
     EXPECT_GE(calls_ - before, 2U * 10);
 }
 
