Load reports: sums of upstreams that are gone, parts within one datagram

Cause: sums of upstreams that no gateway works with were kept for ever, and parts kept for several rounds could exceed a datagram above 280 gateways, which is not sent then. Found on reading the change. Change: empty sums go; the parts of one report are divided by the rounds. Measured: gateway_load_exchange_test and gateway_sharing_test pass.

--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t max_datagram = 65507; // bytes
 /// Parts in one report; more are dropped, which costs a second reading.
 constexpr std::size_t most_parts = 500;
+static_assert(most_parts * sizeof(fb::placed_part) < max_datagram / 2,
+              "the loads of upstreams need the other half");
 /// Time between reports for each other gateway, so that all reports together
 /// grow with the number of gateways, not with its square.
 constexpr duration interval_per_peer = std::chrono::milliseconds(15);
@@ -143,7 +145,10 @@
 {
     for (const auto& [upstream, load] : p.loads)
     {
-        sums_[upstream] -= load;
+        const auto it = sums_.find(upstream);
+        it->second -= load;
+        if (is_zero(it->second))
+            sums_.erase(it);
         changed.push_back(upstream);
     }
 }
@@ -178,8 +183,6 @@
                           take_out(it.second, changed);
                       return is_silent;
                   });
-    if (peers_.empty())
-        sums_.clear();
 }
 
 policy::placed_load peer_loads::sum(std::uint64_t upstream) const
@@ -232,7 +235,8 @@
                               std::span<const policy::cached_part> parts,
                               duration ready_in)
 {
-    if (parts_.size() + parts.size() > most_parts)
+    const std::size_t most = most_parts / std::max<std::size_t>(rounds(), 1);
+    if (parts_.size() + parts.size() > most)
         return;
     for (const policy::cached_part& it : parts)
         parts_.push_back({u.key, it, ready_in});
