Gateway: each gateway hears from the others which upstreams leave

Change: load reports name the processes that drain or have ended; they are not used for 2 s after each such report. Result: the new test of a silent watch fails without the reports and passes with them; unit tests of what is reported.

--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -73,6 +73,7 @@
     }
     u->record = record;
     u->lapses_at = {};
+    ended_.erase({u->key, record.started_ms});
     u->placed.id = record.id.value;
     u->placed.failure_domain = record.failure_domain;
     u->placed.stage = placed_stage_of(record.stage);
@@ -101,7 +102,10 @@
     observe::log(event::gateway_upstream_removed,
                  {{"upstream", id.value}, {"lapsed", lapses ? "yes" : "no"}});
     if (!lapses)
+    {
+        ended_[{u->key, u->record.started_ms}] = now;
         return erase(u);
+    }
     u->lapses_at =
         (store_connected_ ? store_back_at_ : now) + settings_.return_time;
 }
@@ -146,6 +150,45 @@
                   { return now - it.second.removed_at >= longest_absence; });
 }
 
+std::vector<leaving_upstream> fleet::leaving(std::size_t most,
+                                             mono_time now) const
+{
+    std::vector<leaving_upstream> found;
+    const auto add = [&](const leaving_upstream& it)
+    {
+        if (found.size() < most)
+            found.push_back(it);
+    };
+    for (const auto& [id, u] : upstreams_)
+        if (u->record.state != upstream_state::ready || u->health.is_leaving())
+            add({u->key, u->record.started_ms});
+    for (const auto& [it, removed_at] : ended_)
+        if (now - removed_at < settings_.ended_report_time)
+            add(it);
+    return found;
+}
+
+void fleet::heard_leaving(std::span<const leaving_upstream> reported,
+                          mono_time now)
+{
+    for (const leaving_upstream& it : reported)
+    {
+        const upstream_ptr u = find_key(it.upstream);
+        if (!u || u->record.started_ms != it.started_ms)
+            continue;
+        const bool is_news = u->placed.usable;
+        u->health.reported_leaving(now + settings_.reported_leaving_time);
+        u->update_placed(now);
+        if (!is_news)
+            continue;
+        u->connections.close_idle();
+        observe::log(event::gateway_upstream_leaving,
+                     {{"upstream", u->record.id.value},
+                      {"started_ms", u->record.started_ms},
+                      {"told_by", "gateway"}});
+    }
+}
+
 void fleet::note_answer(upstream& u, const answer_info& answer, mono_time now)
 {
     if (answer.is_leaving && !u.health.is_leaving())
@@ -154,7 +197,8 @@
         u.connections.close_idle();
         observe::log(event::gateway_upstream_leaving,
                      {{"upstream", u.record.id.value},
-                      {"started_ms", u.record.started_ms}});
+                      {"started_ms", u.record.started_ms},
+                      {"told_by", "upstream"}});
     }
     const duration asked = answer.pause.value_or(duration::zero());
     if (answer.has_bad_pause || asked > longest_asked_pause)
@@ -210,7 +254,8 @@
     for (const upstream_ptr& it : service.members)
     {
         if (it->record.state != upstream_state::ready ||
-            it->health.is_leaving() || it->health.is_usable(now))
+            it->health.is_leaving() || it->health.is_reported_leaving(now) ||
+            it->health.is_usable(now))
             continue;
         const duration pause = it->health.usable_at() - now;
         shortest = std::min(shortest.value_or(pause), pause);
@@ -275,6 +320,8 @@
         erase(it);
     }
     forget_health(now);
+    std::erase_if(ended_, [&](const auto& it)
+                  { return now - it.second >= settings_.ended_report_time; });
 }
 
 void fleet::close_idle_connections()
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -12,6 +12,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,14 @@
 
 using upstream_ptr = std::shared_ptr<upstream>;
 
+/// A process that drains or has ended.
+struct leaving_upstream
+{
+    std::uint64_t upstream = 0; ///< Digest of its id.
+    std::int64_t started_ms = 0;
+    auto operator<=>(const leaving_upstream&) const = default;
+};
+
 /// What the gateway keeps for one service.
 struct service_fleet
 {
@@ -67,6 +76,13 @@
     duration lapse_window{std::chrono::milliseconds(700)};
     /// Live upstreams have registered again this long after the return.
     duration return_time{std::chrono::milliseconds(2000)};
+    /// An upstream is not used for this long after another gateway has said
+    /// that it leaves; gateways repeat that in each report.
+    duration reported_leaving_time{std::chrono::milliseconds(2000)};
+    /// Upstreams that have ended are reported for this long. Gateways that
+    /// miss a change of the store hear of it later than this only when they
+    /// are cut off from the others too.
+    duration ended_report_time{std::chrono::seconds(10)};
 };
 
 /// Used on the gateway's loop only.
@@ -98,6 +114,14 @@
     static std::optional<duration> shortest_pause(const service_fleet& service,
                                                   mono_time now);
 
+    /// Upstreams that drain, or ended a short while ago; at most `most`.
+    std::vector<leaving_upstream> leaving(std::size_t most,
+                                          mono_time now) const;
+    /// What another gateway knows to leave. It may hear of a change of the
+    /// store seconds before this gateway, whose watch may have gone silent.
+    void heard_leaving(std::span<const leaving_upstream> reported,
+                       mono_time now);
+
     /// Null when no upstream has registered for the service.
     service_fleet* find(const service_id& service);
     upstream_ptr find(const upstream_id& id) const;
@@ -136,6 +160,8 @@
     absl::flat_hash_map<std::uint64_t, upstream_ptr> by_key_;
     std::map<service_id, service> configured_;
     std::map<upstream_id, kept_health> kept_health_;
+    /// Upstreams whose entries were removed, and when.
+    std::map<leaving_upstream, mono_time> ended_;
     bool store_connected_ = false;
     mono_time store_lost_at_{};
     mono_time store_back_at_{};
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -33,11 +33,14 @@
 constexpr double configuration_share = 0.5;
 /// Of that time, the longest wait of a leading gateway's watch.
 constexpr double leading_watch_share = 0.6;
-/// Of the time in which a change must be in force, the longest watch of the
-/// upstreams; a connection may have gone silent unnoticed.
-constexpr double upstream_watch_share = 0.75;
-/// Of the drain time, part that the entries of upstreams are gathered for.
-constexpr int drain_parts = 6;
+/// Parts of the drain time in which a gateway hears that an upstream drains,
+/// also when a watch goes silent unnoticed: changes are gathered, then a watch
+/// waits, and its answer is given up after the margin. The rest is for a second
+/// call and for requests that are on their way.
+constexpr double gather_share = 0.12;
+constexpr double upstream_watch_share = 0.6;
+static_assert(gather_share + upstream_watch_share + watch_margin_share < 0.95,
+              "requests reach an upstream that drains for too long");
 constexpr duration cache_list_limit = std::chrono::seconds(1);
 constexpr std::size_t max_cache_list = std::size_t(1) << 20; // bytes
 constexpr duration sweep_interval = std::chrono::milliseconds(250);
@@ -167,8 +170,8 @@
     // Each gateway follows the upstreams itself: what others have heard comes
     // too late for one that drains, and outages of the store must be noticed.
     options.confirmed_for = duration::zero();
-    options.poll = part_of(t.apply, upstream_watch_share);
-    options.gather = t.drain / drain_parts;
+    options.poll = part_of(t.drain, upstream_watch_share);
+    options.gather = part_of(t.drain, gather_share);
     hooks.changed = [this](const store::object& o)
     {
         asio::post(loop_, [this, o] { on_upstream(o); });
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -40,6 +40,8 @@
 /// Gateways that one report is sent to; the next one goes to others. It bounds
 /// what a gateway sends and receives in a second, however many there are.
 constexpr std::size_t most_receivers = 70;
+/// Of 16 bytes each; more than leave within the time for which they are listed.
+constexpr std::size_t most_leaving = 200;
 
 std::uint32_t clamp32(std::int64_t n)
 {
@@ -105,12 +107,16 @@
         parts.emplace_back(it.upstream, it.part.digest,
                            clamp32(it.part.tokens.value),
                            clamp32(to_milliseconds(it.ready_in)));
+    std::vector<fb::leaving_upstream> leaving;
+    for (const leaving_upstream& it : report.leaving)
+        leaving.emplace_back(it.upstream, it.started_ms);
     const auto configuration = to_wire(report.configuration);
     builder.Finish(fb::Createload_report(
         builder, report_version, builder.CreateString(report.sender),
         report.process, report.number, builder.CreateVectorOfStructs(loads),
         builder.CreateVectorOfStructs(parts),
-        configuration ? &*configuration : nullptr));
+        configuration ? &*configuration : nullptr,
+        builder.CreateVectorOfStructs(leaving)));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -138,6 +144,9 @@
                  {it->part(), token_count(it->tokens())},
                  std::chrono::milliseconds(it->ready_in_ms())});
     report.configuration = from_wire(in->configuration());
+    if (in->leaving())
+        for (const fb::leaving_upstream* it : *in->leaving())
+            report.leaving.push_back({it->upstream(), it->started_ms()});
     return report;
 }
 
@@ -284,13 +293,14 @@
     for (const auto& [id, u] : upstreams_.all())
         if (!is_zero(u->placed.own))
             report.loads.emplace_back(u->key, u->placed.own);
+    report.leaving = upstreams_.leaving(most_leaving, now());
     sent_parts_.push_back(std::exchange(parts_, {}));
     while (sent_parts_.size() > std::max<std::size_t>(rounds(), 1))
         sent_parts_.pop_front();
     for (const auto& it : sent_parts_)
         report.parts.insert(report.parts.end(), it.begin(), it.end());
-    const bool is_idle =
-        report.loads.empty() && report.parts.empty() && !hooks_.is_awaited();
+    const bool is_idle = report.loads.empty() && report.parts.empty() &&
+                         report.leaving.empty() && !hooks_.is_awaited();
     if (is_idle && was_idle_ && now() - sent_ < idle_interval)
         return;
     was_idle_ = is_idle;
@@ -343,6 +353,7 @@
     if (std::ranges::find(peers_, from) == peers_.end())
         peers_.push_back(from);
     hooks_.heard(report);
+    upstreams_.heard_leaving(report.leaving, now());
     for (const load_report_part& it : report.parts)
         if (const upstream_ptr u = upstreams_.find_key(it.upstream))
             u->placed.cache.add({&it.part, 1}, now() + it.ready_in);
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -44,6 +44,7 @@
     std::vector<std::pair<std::uint64_t, policy::placed_load>> loads;
     std::vector<load_report_part> parts;
     std::optional<followed_state> configuration;
+    std::vector<leaving_upstream> leaving;
 };
 
 /// Connects the reports to what else gateways tell each other.
--- a/gateway/main.cpp
+++ b/gateway/main.cpp
@@ -55,8 +55,11 @@
 daemon::exit_code serve(settings::reader& all, daemon::stop_signal& stop)
 {
     const gateway_settings s = parse_gateway_settings(all);
+    store::http_store_options options{s.store};
+    options.watch_margin = policy::from_seconds(
+        policy::seconds(s.timeouts.drain) * watch_margin_share);
     const std::unique_ptr<store::object_store> store =
-        store::make_http_store({s.store}, platform::make_object_dialect());
+        store::make_http_store(options, platform::make_object_dialect());
     gateway g(s, *store);
     daemon::print_listening("poplar-gateway", g.address(), {},
                             g.admin_address());
--- a/gateway/settings.hpp
+++ b/gateway/settings.hpp
@@ -47,6 +47,10 @@
     duration order_lease = std::chrono::seconds(3);
 };
 
+/// Part of the drain time after which a watch of the store that is overdue is
+/// given up.
+inline constexpr double watch_margin_share = 0.2;
+
 struct gateway_settings
 {
     instance_id instance;
--- a/policy/upstream_health.cpp
+++ b/policy/upstream_health.cpp
@@ -49,6 +49,11 @@
     is_leaving_ = true;
 }
 
+void upstream_health::reported_leaving(mono_time until)
+{
+    reported_leaving_until_ = std::max(reported_leaving_until_, until);
+}
+
 bool upstream_health::is_usable(mono_time now) const
 {
     return accepts_requests(now) && now >= unreachable_until_;
@@ -56,7 +61,7 @@
 
 bool upstream_health::accepts_requests(mono_time now) const
 {
-    return !is_leaving_ && now >= asked_until_;
+    return !is_leaving_ && now >= asked_until_ && !is_reported_leaving(now);
 }
 
 mono_time upstream_health::usable_at() const
--- a/policy/upstream_health.hpp
+++ b/policy/upstream_health.hpp
@@ -37,10 +37,13 @@
     void asked_to_pause(mono_time until);
     /// The upstream said that it will end; it never takes that back.
     void leaves();
+    /// Others know until then that the upstream drains or has ended.
+    void reported_leaving(mono_time until);
 
     /// False during a pause and for an upstream that leaves.
     bool is_usable(mono_time now) const;
-    /// False only for what the upstream itself has asked for.
+    /// False for what the upstream itself has asked for, and while others
+    /// report that it leaves.
     bool accepts_requests(mono_time now) const;
     /// End of its pauses; of no meaning for one that leaves.
     mono_time usable_at() const;
@@ -48,6 +51,10 @@
     {
         return is_leaving_;
     }
+    bool is_reported_leaving(mono_time now) const
+    {
+        return now < reported_leaving_until_;
+    }
     /// To add to estimates of the time it takes.
     double penalty_seconds() const;
     double failure_share() const
@@ -61,6 +68,7 @@
     unsigned unreachable_ = 0;
     mono_time unreachable_until_{};
     mono_time asked_until_{};
+    mono_time reported_leaving_until_{};
     bool is_leaving_ = false;
 };
 
--- a/store/http_store.cpp
+++ b/store/http_store.cpp
@@ -17,10 +17,6 @@
 using net::client_result;
 using net::http_response;
 
-/// Time for the answer to a watch beyond its wait. Shorter than that of other
-/// calls, since it delays changes when a connection has gone silent.
-constexpr duration watch_margin = std::chrono::seconds(1);
-
 enum class call_kind
 {
     read,
@@ -214,7 +210,8 @@
     store_call call = dialect_.watch(prefix, after, timeout);
     const std::string what = call.method + " " + call.path;
     client_request request = make_request(std::move(call));
-    request.timeout = timeout + std::min(options_.timeout, watch_margin);
+    request.timeout =
+        timeout + std::min(options_.timeout, options_.watch_margin);
     client_result result;
     absl::Notification done;
     const auto keep = [&](client_result r)
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -123,6 +123,84 @@
     EXPECT_FALSE(before->placed.usable);
 }
 
+// Another gateway hears of a change of the store that this one misses.
+TEST_F(fleet_test, does_not_use_an_upstream_while_others_report_that_it_leaves)
+{
+    const leaving_upstream reported{upstreams_.find(upstream_id("u"))->key, 0};
+    upstreams_.heard_leaving({&reported, 1}, time_);
+    EXPECT_FALSE(is_used("u"));
+    time_ += milliseconds(1500);
+    upstreams_.heard_leaving({&reported, 1}, time_);
+    time_ += milliseconds(1500);
+    EXPECT_FALSE(is_used("u"));
+    time_ += seconds(1);
+    EXPECT_TRUE(is_used("u"));
+}
+
+TEST_F(fleet_test, uses_the_next_process_under_an_id_that_is_reported_leaving)
+{
+    const leaving_upstream earlier{upstreams_.find(upstream_id("u"))->key, -1};
+    upstreams_.heard_leaving({&earlier, 1}, time_);
+    EXPECT_TRUE(is_used("u"));
+}
+
+struct leaving_case
+{
+    const char* name;
+    std::function<void(fleet&, mono_time)> leave;
+    bool is_reported;
+    seconds later{0};
+};
+
+class reported_upstream : public fleet_test,
+                          public testing::WithParamInterface<leaving_case>
+{
+};
+
+TEST_P(reported_upstream, is_what_drains_or_has_ended)
+{
+    GetParam().leave(upstreams_, time_);
+    time_ += GetParam().later;
+    upstreams_.sweep(time_);
+    EXPECT_EQ(!upstreams_.leaving(10, time_).empty(), GetParam().is_reported);
+}
+
+void drain_u(fleet& f, mono_time)
+{
+    upstream_record r = record_of("u");
+    r.state = upstream_state::draining;
+    f.apply(r);
+}
+
+void remove_u(fleet& f, mono_time now)
+{
+    f.remove(upstream_id("u"), now);
+}
+
+void remove_and_register_u(fleet& f, mono_time now)
+{
+    f.remove(upstream_id("u"), now);
+    f.apply(record_of("u"));
+}
+
+void say_leaving(fleet& f, mono_time now)
+{
+    answer_info a;
+    a.is_leaving = true;
+    f.note_answer(*f.find(upstream_id("u")), a, now);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    ways, reported_upstream,
+    testing::Values(leaving_case{"ready", [](fleet&, mono_time) {}, false},
+                    leaving_case{"draining", drain_u, true},
+                    leaving_case{"said_in_answer", say_leaving, true},
+                    leaving_case{"removed", remove_u, true, seconds(9)},
+                    leaving_case{"long_removed", remove_u, false, seconds(11)},
+                    leaving_case{"registered_again", remove_and_register_u,
+                                 false}),
+    [](const auto& it) { return it.param.name; });
+
 TEST_F(fleet_test, pauses_an_upstream_that_cannot_be_reached)
 {
     const upstream_ptr u = upstreams_.find(upstream_id("u"));
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -30,6 +30,7 @@
     r.loads[0].second.reading[1] = token_count(500);
     r.parts = {{7, {99, token_count(800)}, milliseconds(40)}};
     r.configuration = followed_state{12, milliseconds(70)};
+    r.leaving = {{7, 1'700'000'000'000}};
     const load_report back = decode_load_report(encode_load_report(r));
     EXPECT_EQ(back.sender, "a");
     ASSERT_TRUE(back.configuration);
@@ -42,6 +43,7 @@
     ASSERT_EQ(back.parts.size(), 1U);
     EXPECT_EQ(back.parts[0].part.digest, 99U);
     EXPECT_EQ(back.parts[0].ready_in, duration(milliseconds(40)));
+    EXPECT_EQ(back.leaving, r.leaving);
 }
 
 RC_GTEST_PROP(load_report_bytes, are_refused_when_changed,
--- a/tests/platform/gateway_sharing_test.cpp
+++ b/tests/platform/gateway_sharing_test.cpp
@@ -53,6 +53,8 @@
             auto changes = behind_.watch(prefix, after, milliseconds(20));
             if (is_ending_)
                 throw store::watches_stopped();
+            if (is_silent)
+                continue;
             check_cut();
             if (!changes.objects.empty() || now() >= end)
                 return changes;
@@ -68,6 +70,8 @@
     }
 
     std::atomic<bool> is_cut = false;
+    /// Watches that wait are never answered.
+    std::atomic<bool> is_silent = false;
 
 private:
     void check_cut() const
@@ -111,15 +115,18 @@
         const object_key k(key);
         store_.put(k, value.dump(), store_.get(k).version);
     }
+    static json entry_of(const ip_address& at)
+    {
+        return {{"service", "desk"}, {"address", to_string(at)}, {"zone", "z"},
+                {"slots", 8},        {"state", "ready"},         {"born", 1}};
+    }
     void add_upstream(const std::string& id, std::uint16_t port)
     {
-        put("servers/" + id,
-            json{{"service", "desk"},
-                 {"address", "127.0.0.1:" + std::to_string(port)},
-                 {"zone", "z"},
-                 {"slots", 8},
-                 {"state", "ready"},
-                 {"born", 1}});
+        put("servers/" + id, entry_of({"127.0.0.1", port}));
+    }
+    static scripted_answer answer(const std::string& head)
+    {
+        return {whole_answer(200, field_of(head, "Attempt-Id"), "x")};
     }
     static std::string fetch(const gateway& g, const std::string& path)
     {
@@ -152,6 +159,14 @@
         return now() < end;
     }
 
+    void drain_upstream(const std::string& id)
+    {
+        const object_key key("servers/" + id);
+        json entry = json::parse(store_.get(key).value);
+        entry["state"] = "draining";
+        put(key.value, entry);
+    }
+
     store::memory_store store_;
     std::atomic<unsigned> calls_ = 0;
     std::vector<std::unique_ptr<reached_store>> stores_;
@@ -200,5 +215,29 @@
     }
 }
 
+// A watch on a connection that had gone silent was given up after the drain
+// time; requests reached an upstream that drained until then.
+TEST_F(gateway_fleet, tells_one_whose_watch_is_silent_that_an_upstream_drains)
+{
+    scripted_upstream leaving(answer);
+    scripted_upstream other(answer);
+    put("servers/i-2", entry_of(leaving.address()));
+    start(3);
+    store_.remove(object_key("servers/i-1"),
+                  store_.get(object_key("servers/i-1")).version);
+    std::this_thread::sleep_for(milliseconds(500));
+    ASSERT_EQ(fetch(*gateways_[0], "/safe/x"), "200");
+    stores_[0]->is_silent = true;
+    put("servers/i-3", entry_of(other.address()));
+    drain_upstream("i-2");
+    std::this_thread::sleep_for(gateway_timeouts().drain / 2);
+    const std::size_t before = leaving.heads().size();
+    // It knows of no other upstream; a refusal is the right answer.
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(fetch(*gateways_[0], "/safe/x"), "503");
+    EXPECT_EQ(leaving.heads().size(), before);
+    stores_[0]->is_silent = false;
+}
+
 } // namespace
 } // namespace poplar::gateway
