Watcher: the last change of an object counts when an answer holds several

Cause: an answer to a watch may hold a change and the removal of one object. Removals were reported first, so the change that came before brought the object back for good. Ruled out: entries that lapse (no gateway logged a lapse then), late heartbeats that bring an entry back (no entry came back in another answer). Change: of each object only the last change of an answer is reported.

--- a/store/object_store.hpp
+++ b/store/object_store.hpp
@@ -116,7 +116,8 @@
                               object_version expected) = 0;
     virtual object_list list(const std::string& prefix) = 0;
     /// Waits for changes after `after` for at most `timeout`. Objects with
-    /// version 0 were removed. An empty list means the time has passed.
+    /// version 0 were removed. Several changes of one object come in the order
+    /// in which they were made. An empty list means the time has passed.
     virtual object_list watch(const std::string& prefix, object_version after,
                               duration timeout) = 0;
     virtual std::vector<instance_record> instances() = 0;
--- a/store/watcher.cpp
+++ b/store/watcher.cpp
@@ -4,6 +4,7 @@
 #include "observe/log.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <set>
 
 namespace poplar::store
@@ -22,6 +23,18 @@
     return digest(key.value, version.value);
 }
 
+/// An answer may hold several changes of one object, in the order in which they
+/// were made; the last one is its state.
+std::vector<object> last_of_each(std::vector<object> changes)
+{
+    std::set<object_key> seen;
+    std::vector<object> last;
+    for (object& it : changes | std::views::reverse)
+        if (seen.insert(it.key).second)
+            last.push_back(std::move(it));
+    return last;
+}
+
 } // namespace
 
 watcher::watcher(object_store& store, watcher_options options,
@@ -83,7 +96,7 @@
         object_list changes =
             store_.watch(options_.prefix, revision_, wait_for_need());
         const bool has_changes = !changes.objects.empty();
-        report(std::move(changes.objects));
+        report(last_of_each(std::move(changes.objects)));
         revision_ = changes.revision;
         failures_ = 0;
         set_connected(true);
--- a/tests/watcher_test.cpp
+++ b/tests/watcher_test.cpp
@@ -3,6 +3,8 @@
 #include "store/memory_store.hpp"
 #include "store/watcher.hpp"
 
+#include <absl/time/clock.h>
+#include <algorithm>
 #include <atomic>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -140,6 +142,90 @@
     }
 };
 
+/// Answers the next watch with every change since the last answer, several of
+/// one object too.
+class changes_store : public memory_store
+{
+public:
+    object_list watch(const std::string& prefix, object_version after,
+                      duration timeout) override
+    {
+        object_list next = take_next();
+        return next.objects.empty()
+                   ? memory_store::watch(prefix, after, timeout)
+                   : next;
+    }
+    void answer_next(object_list next)
+    {
+        absl::MutexLock lock(&mutex_);
+        next_ = std::move(next);
+    }
+
+private:
+    object_list take_next()
+    {
+        absl::MutexLock lock(&mutex_);
+        return std::exchange(next_, {});
+    }
+
+    absl::Mutex mutex_;
+    object_list next_ ABSL_GUARDED_BY(mutex_);
+};
+
+struct changes_case
+{
+    const char* name;
+    std::vector<object_version> versions; ///< 0: removed.
+    object_version last;
+};
+
+class several_changes : public testing::TestWithParam<changes_case>
+{
+};
+
+// An upstream that changed its stage and ended within one answer was used as if
+// it had come back after its end.
+TEST_P(several_changes, of_an_object_end_with_the_last)
+{
+    changes_store store;
+    store.put(object_key("a"), "x", object_version());
+    recorder seen;
+    watcher w(store, quick(""), seen.hooks());
+    ASSERT_TRUE(seen.wait_for(1));
+    object_list next{object_version(30), {}};
+    for (const object_version it : GetParam().versions)
+        next.objects.push_back({object_key("a"), it, "y"});
+    next.objects.push_back({object_key("b"), object_version(29), "z"});
+    store.answer_next(next);
+    const auto is_last = [](const object& o)
+    {
+        return o.key == object_key("b");
+    };
+    for (int i = 0; i < 200 && std::ranges::none_of(seen.objects(), is_last);
+         ++i)
+        absl::SleepFor(absl::Milliseconds(10));
+    std::vector<object> objects = seen.objects();
+    std::erase_if(objects, is_last);
+    EXPECT_EQ(objects.back().version, GetParam().last);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    orders, several_changes,
+    testing::Values(changes_case{"changed_then_removed",
+                                 {object_version(20), object_version()},
+                                 object_version()},
+                    changes_case{"removed_then_created",
+                                 {object_version(), object_version(20)},
+                                 object_version(20)},
+                    changes_case{"created_and_removed_again",
+                                 {object_version(), object_version(20),
+                                  object_version()},
+                                 object_version()},
+                    changes_case{"changed_twice",
+                                 {object_version(20), object_version(21)},
+                                 object_version(21)}),
+    [](const auto& it) { return it.param.name; });
+
 TEST(watcher, lists_again_after_compaction_and_reports_removals)
 {
     compacting_store store;
