Gateway: engines are divided between the stages by demand

Cause: the plan of stages counted open streams. Change: each gateway meters the engine seconds that its callers ask for, reading by the engines' own rate and moves of KV cache; load reports carry the sums; the ordering gateway adds streams over slots. Nothing changes while no stage is short of engines, nor when another gateway takes the orders over. The engines' own rate is the slope of the time of readings over their tokens.

--- a/ctl/losses.cpp
+++ b/ctl/losses.cpp
@@ -24,13 +24,19 @@
     return colon == std::string::npos ? outcome : outcome.substr(colon + 2);
 }
 
+bool has_long_pause(const json& end)
+{
+    const std::int64_t target = number_field(end, "pause_target_ms");
+    return target > 0 && number_field(end, "longest_pause_ms") > target;
+}
+
 bool is_late(const json& end)
 {
     const std::int64_t target = number_field(end, "target_ms");
     const std::int64_t first = number_field(end, "first_event_ms");
     const std::int64_t taken =
         first > 0 ? first : number_field(end, "taken_ms");
-    return target > 0 && taken > target;
+    return (target > 0 && taken > target) || has_long_pause(end);
 }
 
 std::string causes_text(const kind_losses& k)
@@ -107,6 +113,8 @@
         return "retry";
     if (!placed)
         return "call";
+    if (number_field(end, "first_event_ms") <= number_field(end, "target_ms"))
+        return "pause";
     const std::int64_t read = number_field(end, "prompt_read_ms");
     if (read > 0 && read <= number_field(end, "target_ms"))
         return "decode_wait";
--- a/ctl/losses.hpp
+++ b/ctl/losses.hpp
@@ -25,9 +25,9 @@
 
 /// Causes of late requests: `retry` (an earlier try failed), `prefill_wait`
 /// (work before it), `prompt` (its own reading), `decode_wait` (first event
-/// after the reading), `call`. Of callers that left: the step that was awaited,
-/// `prefill`, `first_event`, `stream` or `call`, or `retry`. Refusals and
-/// failures have the reason that the log gives.
+/// after the reading), `pause` (between events), `call`. Of callers that left:
+/// the step that was awaited, `prefill`, `first_event`, `stream` or `call`, or
+/// `retry`. Refusals and failures have the reason that the log gives.
 class loss_report
 {
 public:
--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -26,6 +26,8 @@
 /// A change that does not show after this time is planned again.
 constexpr duration change_limit = seconds(14);
 constexpr duration call_limit = seconds(1);
+/// Engines kept busy below which a service counts as not asked for yet.
+constexpr double no_demand = 0.05;
 /// A gateway asks for the right to order when orders have been due for this
 /// long for each one before it, so that not all ask all the time.
 constexpr duration rank_delay = seconds(2);
@@ -140,16 +142,14 @@
 
 void engine_control::keep_stages()
 {
-    std::map<service_id, std::vector<engine_snapshot>> services;
-    for (engine_snapshot& it : snapshot_())
-        services[it.record.service].push_back(std::move(it));
-    for (const auto& [service, engines] : services)
-        keep_stages_of(service, engines);
+    for (const auto& [service, seen] : snapshot_())
+        keep_stages_of(service, seen);
 }
 
 void engine_control::keep_stages_of(const service_id& service,
-                                    const std::vector<engine_snapshot>& engines)
+                                    const service_snapshot& seen)
 {
+    const std::vector<engine_snapshot>& engines = seen.engines;
     if (seen_engines_[service] != engines.size())
     {
         seen_engines_[service] = engines.size();
@@ -158,7 +158,7 @@
     if (now() - steady_since_[service] < steady_time)
         return;
     std::vector<policy::staged_engine> staged;
-    unsigned streams = 0;
+    double busy = 0; // engines' worth of streams
     for (const engine_snapshot& it : engines)
     {
         engine_stage stage = it.record.stage;
@@ -168,12 +168,16 @@
         staged.push_back({it.record.id.value, it.record.failure_domain,
                           placed_stage_of(stage), it.runs, it.record.slots});
         if (it.record.stage == engine_stage::decode)
-            streams += it.runs;
+            busy += double(it.runs) / std::max(1U, it.record.slots);
     }
-    streams_[service].add(streams, now());
-    const bool is_first = !planned_.contains(service);
-    const policy::stage_plan plan = policy::plan_stages(
-        options_.stages, staged, streams_[service].value(), is_first);
+    runs_[service].add(busy, now());
+    policy::stage_demand demand = seen.demand;
+    demand.running += runs_[service].value();
+    // A gateway that takes the orders over from another plans as that one did.
+    const bool is_first = !planned_.contains(service) &&
+                          demand.reading + demand.running < no_demand;
+    const policy::stage_plan plan =
+        policy::plan_stages(options_.stages, staged, demand, is_first);
     if (plan.changes.empty())
     {
         wanted_since_.erase(service);
@@ -190,7 +194,8 @@
     observe::log(event::gateway_stage_plan,
                  {{"service", service.value},
                   {"engines", engines.size()},
-                  {"streams", std::int64_t(streams_[service].value())},
+                  {"reading_ms", std::int64_t(demand.reading * 1000)},
+                  {"running_ms", std::int64_t(demand.running * 1000)},
                   {"prefill", plan.present_prefill},
                   {"wanted_prefill", plan.wanted_prefill},
                   {"fencing", token->value}});
--- a/gateway/engine_control.hpp
+++ b/gateway/engine_control.hpp
@@ -22,6 +22,12 @@
     bool may_send = true; ///< False while it asked for no requests.
 };
 
+struct service_snapshot
+{
+    std::vector<engine_snapshot> engines;
+    policy::stage_demand demand; ///< Of all gateways' callers.
+};
+
 struct engine_control_options
 {
     instance_id instance;
@@ -46,7 +52,8 @@
 class engine_control
 {
 public:
-    using snapshot_source = std::function<std::vector<engine_snapshot>()>;
+    using snapshot_source =
+        std::function<std::map<service_id, service_snapshot>()>;
 
     /// `snapshot` is called on the control's thread.
     engine_control(store::object_store& store, engine_control_options options,
@@ -72,7 +79,7 @@
     void remove_registration();
     void keep_stages();
     void keep_stages_of(const service_id& service,
-                        const std::vector<engine_snapshot>& engines);
+                        const service_snapshot& seen);
     void send_order(const engine_snapshot& engine, engine_stage stage);
     /// Orders that the engine has accepted; empty when it does not answer or
     /// is changing.
@@ -86,7 +93,7 @@
     /// Of the registration; 0: there is none.
     object_version registered_;
     std::map<service_id, unsigned> planned_;
-    std::map<service_id, policy::stream_average> streams_;
+    std::map<service_id, policy::run_average> runs_;
     std::map<service_id, std::size_t> seen_engines_;
     std::map<service_id, mono_time> steady_since_;
     /// Since when changes have been due.
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -398,6 +398,9 @@
          {"tries", history_.tries},
          {"prompt_read_ms", to_milliseconds(prompt_read_after_)},
          {"first_event_ms", to_milliseconds(first_event_after_)},
+         {"longest_pause_ms", to_milliseconds(longest_pause_)},
+         {"pause_target_ms",
+          route_ ? to_milliseconds(route_->pause_target) : 0},
          {"taken_ms", to_milliseconds(taken)},
          {"target_ms", route_ ? to_milliseconds(route_->target) : 0},
          {"configuration", routing_ ? routing_->config.version.value : 0}});
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -106,6 +106,7 @@
     policy::placed_request placed_request() const;
     std::optional<policy::placement_plan> plan_engines();
     upstream_ptr choose_runner(const upstream& reader) const;
+    void note_demand(const stream_run& run);
     policy::admission_decision admit(const policy::placement_plan& plan) const;
     upstream_ptr choose_call_instance();
     std::vector<std::size_t> excluded() const;
@@ -161,6 +162,8 @@
     std::string last_upstream_;
     duration prompt_read_after_{}; ///< Since the request came; 0: was not.
     duration first_event_after_{};
+    mono_time last_event_{};
+    duration longest_pause_{}; ///< Between events.
 };
 
 } // namespace poplar::gateway
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -110,6 +110,21 @@
                      patience_in_pauses * route_->pause_target});
 }
 
+/// Counted once a request, whether it is admitted or not.
+void exchange::note_demand(const stream_run& run)
+{
+    if (history_.tries > 0 || holds_ > 0)
+        return;
+    const policy::placement_choice& first =
+        run.plan.prefill ? *run.plan.prefill : run.plan.decode;
+    policy::stage_demand work;
+    work.reading = double(first.uncached.value) /
+                   fleet_->placement.engine_rate().tokens_per_second();
+    if (run.plan.prefill)
+        work.running = run.plan.decode.total_seconds; // moves the KV cache
+    fleet_->demand.add(work, now());
+}
+
 /// A request that another engine failed was admitted before.
 policy::admission_decision
 exchange::admit(const policy::placement_plan& plan) const
@@ -158,14 +173,18 @@
     const mono_time began = now();
     plain_answer a = co_await try_plain(u, std::move(options));
     const double taken = policy::seconds(now() - began);
-    fleet_->placement.correction().add(policy::load_rank(route_->priority),
-                                       choice.wait_seconds,
-                                       taken - choice.read_seconds);
+    policy::engine_placement& placement = fleet_->placement;
+    placement.correction().add(policy::load_rank(route_->priority),
+                               choice.wait_seconds,
+                               taken - choice.read_seconds);
     if (caller_left_)
         co_return kv_handle{};
     kv_handle kv = take_reading(*u, std::move(a));
     if (!kv.empty() && was_free)
-        fleet_->placement.read_rate().add(choice.uncached, taken);
+    {
+        placement.read_rate().add(choice.uncached, taken);
+        placement.engine_rate().add(choice.uncached, taken);
+    }
     co_return kv;
 }
 
@@ -275,6 +294,7 @@
     if (plan->prefill)
         run.reader = fleet_->members[plan->prefill->engine];
     run.runner = fleet_->members[plan->decode.engine];
+    note_demand(run);
     const auto admission = admit(*plan);
     if (!admission.is_admitted)
     {
@@ -465,8 +485,12 @@
                                    first_event_after_);
         co_await out_.begin(platform::forwardable(call.head()));
     }
-    if (!events.empty())
-        co_await out_.write(events);
+    if (events.empty())
+        co_return;
+    if (last_event_ != mono_time{})
+        longest_pause_ = std::max(longest_pause_, now() - last_event_);
+    last_event_ = now();
+    co_await out_.write(events);
 }
 
 void exchange::log_placed(const stream_run& run) const
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -7,6 +7,7 @@
 #include "policy/engine_placement.hpp"
 #include "policy/overtaking.hpp"
 #include "policy/retry_budget.hpp"
+#include "policy/stage_plan.hpp"
 #include "policy/upstream_health.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -61,6 +62,7 @@
     std::vector<upstream_ptr> members;
     policy::engine_placement placement;
     policy::retry_budget retries;
+    policy::demand_meter demand; ///< Of this gateway's callers.
 };
 
 struct fleet_settings
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -390,25 +390,24 @@
         .get();
 }
 
-std::vector<engine_snapshot> gateway::engines()
+/// Engines that may be ordered, and what callers ask of them.
+std::map<service_id, service_snapshot> gateway::engines()
 {
-    return asio::post(
-               loop_,
-               asio::use_future(
-                   [this]
-                   {
-                       std::vector<engine_snapshot> found;
-                       for (const auto& [id, u] : state_.upstreams.all())
-                           if (u->record.stage != engine_stage::none &&
-                               u->record.state == upstream_state::ready &&
-                               !u->health.is_leaving())
-                               found.push_back(
-                                   {u->record,
-                                    u->placed.own.runs + u->placed.others.runs,
-                                    u->health.accepts_requests(now())});
-                       return found;
-                   }))
-        .get();
+    const auto look = [this]
+    {
+        std::map<service_id, service_snapshot> found;
+        for (const auto& [id, u] : state_.upstreams.all())
+            if (u->record.stage != engine_stage::none &&
+                u->record.state == upstream_state::ready &&
+                !u->health.is_leaving())
+                found[u->record.service].engines.push_back(
+                    {u->record, u->placed.own.runs + u->placed.others.runs,
+                     u->health.accepts_requests(now())});
+        for (auto& [name, it] : found)
+            it.demand = state_.loads.demand(name);
+        return found;
+    };
+    return asio::post(loop_, asio::use_future(look)).get();
 }
 
 asio::awaitable<void> gateway::accept_callers()
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -51,7 +51,7 @@
     void on_gateway(const store::object& o);
     /// Divides the retry budget among the registered gateways.
     void share_retries();
-    std::vector<engine_snapshot> engines();
+    std::map<service_id, service_snapshot> engines();
     std::size_t order_rank();
     load_exchange_hooks sharing_hooks();
     void share_watches();
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -75,6 +75,11 @@
             in.runs()};
 }
 
+std::uint32_t to_wire_ms(double seconds)
+{
+    return clamp32(std::int64_t(seconds * 1000));
+}
+
 std::optional<fb::followed_state>
 to_wire(const std::optional<followed_state>& state)
 {
@@ -110,13 +115,18 @@
     std::vector<fb::leaving_upstream> leaving;
     for (const leaving_upstream& it : report.leaving)
         leaving.emplace_back(it.upstream, it.started_ms);
+    std::vector<fb::service_demand> demand;
+    for (const auto& [service, it] : report.demand)
+        demand.emplace_back(service, to_wire_ms(it.reading),
+                            to_wire_ms(it.running));
     const auto configuration = to_wire(report.configuration);
     builder.Finish(fb::Createload_report(
         builder, report_version, builder.CreateString(report.sender),
         report.process, report.number, builder.CreateVectorOfStructs(loads),
         builder.CreateVectorOfStructs(parts),
         configuration ? &*configuration : nullptr,
-        builder.CreateVectorOfStructs(leaving)));
+        builder.CreateVectorOfStructs(leaving),
+        builder.CreateVectorOfStructs(demand)));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -147,6 +157,11 @@
     if (in->leaving())
         for (const fb::leaving_upstream* it : *in->leaving())
             report.leaving.push_back({it->upstream(), it->started_ms()});
+    if (in->demand())
+        for (const fb::service_demand* it : *in->demand())
+            report.demand.push_back(
+                {it->service(),
+                 {it->reading_ms() / 1000.0, it->running_ms() / 1000.0}});
     return report;
 }
 
@@ -172,6 +187,7 @@
     p.number = report.number;
     p.heard = now;
     take_out(p, changed);
+    p.demand = report.demand;
     p.loads.clear();
     p.loads.insert(report.loads.begin(), report.loads.end());
     for (const auto& [upstream, load] : p.loads)
@@ -200,6 +216,16 @@
     return it == sums_.end() ? policy::placed_load() : it->second;
 }
 
+policy::stage_demand peer_loads::demand(std::uint64_t service) const
+{
+    policy::stage_demand sum;
+    for (const auto& [sender, p] : peers_)
+        for (const auto& [of, it] : p.demand)
+            if (of == service)
+                sum += it;
+    return sum;
+}
+
 load_exchange::load_exchange(asio::io_context& loop, fleet& upstreams,
                              std::string sender, const ip_address& listen)
     : upstreams_(upstreams), sender_(std::move(sender)),
@@ -229,6 +255,15 @@
     asio::co_spawn(loop_, receive(), asio::detached);
 }
 
+policy::stage_demand load_exchange::demand(const service_id& service) const
+{
+    const auto it = upstreams_.services().find(service);
+    policy::stage_demand sum = loads_.demand(digest(service.value));
+    if (it != upstreams_.services().end())
+        sum += it->second.demand.value(now());
+    return sum;
+}
+
 void load_exchange::set_peers(const std::vector<ip_address>& peers)
 {
     peers_.clear();
@@ -294,6 +329,10 @@
         if (!is_zero(u->placed.own))
             report.loads.emplace_back(u->key, u->placed.own);
     report.leaving = upstreams_.leaving(most_leaving, now());
+    for (const auto& [name, it] : upstreams_.services())
+        if (has_engines(it))
+            report.demand.emplace_back(digest(name.value),
+                                       it.demand.value(now()));
     sent_parts_.push_back(std::exchange(parts_, {}));
     while (sent_parts_.size() > std::max<std::size_t>(rounds(), 1))
         sent_parts_.pop_front();
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -45,6 +45,8 @@
     std::vector<load_report_part> parts;
     std::optional<followed_state> configuration;
     std::vector<leaving_upstream> leaving;
+    /// By digest of the service's name.
+    std::vector<std::pair<std::uint64_t, policy::stage_demand>> demand;
 };
 
 /// Connects the reports to what else gateways tell each other.
@@ -73,6 +75,8 @@
     /// Forgets gateways that were last heard before.
     void forget(mono_time before, std::vector<std::uint64_t>& changed);
     policy::placed_load sum(std::uint64_t upstream) const;
+    /// Of all gateways that are heard.
+    policy::stage_demand demand(std::uint64_t service) const;
     std::size_t size() const
     {
         return peers_.size();
@@ -85,6 +89,7 @@
         std::uint64_t number = 0;
         mono_time heard{};
         absl::flat_hash_map<std::uint64_t, policy::placed_load> loads;
+        std::vector<std::pair<std::uint64_t, policy::stage_demand>> demand;
     };
 
     void take_out(const peer& p, std::vector<std::uint64_t>& changed);
@@ -114,6 +119,8 @@
     {
         return loads_.size();
     }
+    /// What callers of all gateways ask of a service.
+    policy::stage_demand demand(const service_id& service) const;
 
 private:
     asio::awaitable<void> send_regularly();
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -17,6 +17,13 @@
 constexpr token_count shortest_measured{2000};
 /// Weight of one measurement.
 constexpr double measurement_weight = 0.1;
+/// Weight of one measurement of the slope. Engines differ and are slow for
+/// moments, so that it needs many.
+constexpr double slope_weight = 0.005;
+/// Spread of prompt lengths that the initial rate stands for.
+constexpr double initial_deviation = 2000; // tokens
+/// The time for a token is at least this part of the mean time for one.
+constexpr double least_slope_share = 0.02;
 /// Shorter estimates are mostly network and say little.
 constexpr double shortest_expected = 0.05; // s
 constexpr double highest_correction = 8;
@@ -111,6 +118,32 @@
     rate_ += measurement_weight * (measured - rate_);
 }
 
+engine_rate_estimate::engine_rate_estimate(double initial)
+    : variance_(initial_deviation * initial_deviation),
+      covariance_(variance_ / initial)
+{
+}
+
+void engine_rate_estimate::add(token_count tokens, double seconds)
+{
+    if (tokens <= token_count(0) || seconds <= 0)
+        return;
+    const auto n = double(tokens.value);
+    if (mean_tokens_ == 0)
+    {
+        mean_tokens_ = n;
+        mean_seconds_ = seconds;
+    }
+    const double more_tokens = n - mean_tokens_;
+    const double more_seconds = seconds - mean_seconds_;
+    mean_tokens_ += slope_weight * more_tokens;
+    mean_seconds_ += slope_weight * more_seconds;
+    variance_ += slope_weight * (more_tokens * more_tokens - variance_);
+    covariance_ += slope_weight * (more_tokens * more_seconds - covariance_);
+    covariance_ = std::max(covariance_, least_slope_share * variance_ *
+                                            mean_seconds_ / mean_tokens_);
+}
+
 void wait_correction::add(std::size_t rank, double expected_wait, double wait)
 {
     if (expected_wait < shortest_expected)
@@ -121,7 +154,8 @@
 }
 
 engine_placement::engine_placement(const placement_settings& settings)
-    : settings_(settings), rate_(settings.read_rate)
+    : settings_(settings), rate_(settings.read_rate),
+      engine_rate_(settings.read_rate)
 {
 }
 
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -119,7 +119,9 @@
     placement_choice decode;
 };
 
-/// Prompt tokens per second, measured from readings that found no other work.
+/// Prompt tokens per second as a gateway sees them, with its own delay, from
+/// readings that found no other work. A loaded gateway so expects and refuses
+/// more, which is what its callers meet.
 class read_rate_estimate
 {
 public:
@@ -135,6 +137,27 @@
     double rate_;
 };
 
+/// Prompt tokens per second of the engines themselves: the slope of the time of
+/// readings over their tokens. What each reading takes besides, as on a
+/// gateway's slow link, does not count.
+class engine_rate_estimate
+{
+public:
+    explicit engine_rate_estimate(double initial);
+
+    void add(token_count tokens, double seconds);
+    double tokens_per_second() const
+    {
+        return variance_ / covariance_;
+    }
+
+private:
+    double mean_tokens_ = 0;
+    double mean_seconds_ = 0;
+    double variance_;   ///< Of tokens.
+    double covariance_; ///< Of tokens and seconds; positive.
+};
+
 /// How much longer requests of a rank wait than the work before them says:
 /// more urgent ones that come later go before them too.
 class wait_correction
@@ -179,6 +202,10 @@
     {
         return rate_;
     }
+    engine_rate_estimate& engine_rate()
+    {
+        return engine_rate_;
+    }
     wait_correction& correction()
     {
         return correction_;
@@ -215,6 +242,7 @@
 
     placement_settings settings_;
     read_rate_estimate rate_;
+    engine_rate_estimate engine_rate_;
     wait_correction correction_;
 };
 
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -12,15 +12,12 @@
 namespace
 {
 
-/// Time constant of the average; bursts of a second change no stage.
-constexpr double average_seconds = 4;
+/// Time constant of the averages; bursts of a second change no stage.
+constexpr double average_seconds = 3;
 
-/// Engines that run this many streams without crowding.
-unsigned engines_for(double streams, std::span<const staged_engine> engines,
-                     double streams_per_slot)
+double kept_share(mono_time since, mono_time now)
 {
-    const double room = streams_per_slot * engines.front().slots;
-    return unsigned(std::ceil(streams / std::max(room, 1.0)));
+    return std::exp(-seconds(now - since) / average_seconds);
 }
 
 /// Index of the engine that changes next: from the failure domain that has most
@@ -46,11 +43,29 @@
     return best;
 }
 
+/// Part of the engines that are to read prompts.
+double wanted_share(const stage_plan_settings& settings,
+                    const stage_demand& demand, unsigned engines)
+{
+    const double assumed = settings.assumed_demand * engines;
+    const double share = (demand.reading + assumed * settings.most_prefill) /
+                         (demand.reading + demand.running + assumed);
+    return std::min(share, settings.most_prefill);
+}
+
+/// Whether the stage that would get `missing` prefill engines needs them.
+bool is_short(const stage_plan_settings& settings, const stage_demand& demand,
+              unsigned prefill, unsigned decode, int missing)
+{
+    return missing > 0 ? demand.reading > settings.short_from * prefill
+                       : demand.running > settings.short_from * decode;
+}
+
 } // namespace
 
 stage_plan plan_stages(const stage_plan_settings& settings,
-                       std::span<const staged_engine> engines, double streams,
-                       bool is_first)
+                       std::span<const staged_engine> engines,
+                       const stage_demand& demand, bool is_first)
 {
     stage_plan plan;
     const auto n = unsigned(engines.size());
@@ -61,15 +76,17 @@
         plan.wanted_prefill = plan.present_prefill;
         return plan;
     }
-    const auto share = unsigned(std::lround(settings.prefill_share * n));
-    const unsigned running = std::min(
-        n - 1, engines_for(streams, engines, settings.streams_per_slot));
-    plan.wanted_prefill = std::clamp(std::min(share, n - running), 1U, n - 1);
+    const double wanted = wanted_share(settings, demand, n) * n;
+    plan.wanted_prefill = std::clamp(unsigned(std::lround(wanted)), 1U, n - 1);
     const int missing = int(plan.wanted_prefill) - int(plan.present_prefill);
-    const unsigned tolerance = is_first ? 0 : settings.tolerance;
+    const unsigned tolerance =
+        std::max(1U, unsigned(std::lround(settings.tolerance * n)));
+    const bool pays = unsigned(std::abs(missing)) > tolerance &&
+                      is_short(settings, demand, plan.present_prefill,
+                               n - plan.present_prefill, missing);
     const bool lacks_stage =
         plan.present_prefill == 0 || plan.present_prefill == n;
-    if (unsigned(std::abs(missing)) <= tolerance && !lacks_stage)
+    if (!pays && !lacks_stage && !is_first)
         return plan;
     std::vector<placed_stage> stages;
     std::ranges::transform(engines, std::back_inserter(stages),
@@ -86,11 +103,26 @@
     return plan;
 }
 
-void stream_average::add(double streams, mono_time now)
+void demand_meter::add(const stage_demand& work, mono_time now)
+{
+    sum_ = value(now);
+    sum_ += {work.reading / average_seconds, work.running / average_seconds};
+    last_ = now;
+}
+
+stage_demand demand_meter::value(mono_time now) const
+{
+    if (last_ == mono_time{})
+        return {};
+    const double kept = kept_share(last_, now);
+    return {sum_.reading * kept, sum_.running * kept};
+}
+
+void run_average::add(double runs, mono_time now)
 {
-    const double passed = last_ == mono_time{} ? 0 : seconds(now - last_);
+    const double kept = last_ == mono_time{} ? 1 : kept_share(last_, now);
     last_ = now;
-    value_ += (1 - std::exp(-passed / average_seconds)) * (streams - value_);
+    value_ += (1 - kept) * (runs - value_);
 }
 
 } // namespace poplar::policy
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -16,13 +16,32 @@
 {
     /// Most of the engines that read prompts. Prompts of many tokens for few
     /// output tokens keep readers busy; streams share an engine well.
-    double prefill_share = 0.78;
-    /// Streams of an engine, in relation to its slots, above which another
-    /// engine is to run streams: longer outputs shift the mix.
-    double streams_per_slot = 0.5;
-    /// Deviation from the wanted number that is left alone, since a change
-    /// takes an engine away for seconds.
-    unsigned tolerance = 1;
+    double most_prefill = 0.78;
+    /// Part of the engines whose worth of demand is assumed to ask for
+    /// `most_prefill`, so that little demand moves no engine.
+    double assumed_demand = 0.1;
+    /// A stage is short of engines when its demand is more than this part of
+    /// them; as long as neither is, nothing changes.
+    double short_from = 0.6;
+    /// Part of the engines by which the stages may differ from the wanted
+    /// ones, since a change takes an engine away for seconds.
+    double tolerance = 0.1;
+};
+
+/// Work that callers ask of the engines of a service, in engines that it keeps
+/// busy all the time.
+struct stage_demand
+{
+    double reading = 0; ///< Of prompts.
+    /// Of streams, and of moving the KV cache to where they run.
+    double running = 0;
+
+    stage_demand& operator+=(const stage_demand& other)
+    {
+        reading += other.reading;
+        running += other.running;
+        return *this;
+    }
 };
 
 struct staged_engine
@@ -48,16 +67,30 @@
 };
 
 /// Spreads both stages over the failure domains; at least one engine keeps each
-/// stage. `streams` run at once on average; `is_first` plans without tolerance.
+/// stage. `is_first` plans without tolerance, before there is demand.
 stage_plan plan_stages(const stage_plan_settings& settings,
-                       std::span<const staged_engine> engines, double streams,
-                       bool is_first);
+                       std::span<const staged_engine> engines,
+                       const stage_demand& demand, bool is_first);
+
+/// Demand as requests come in, over the last seconds. It counts work, not open
+/// requests: those wait at their gateway and on its link too.
+class demand_meter
+{
+public:
+    /// Seconds of an engine that one request takes.
+    void add(const stage_demand& work, mono_time now);
+    stage_demand value(mono_time now) const;
+
+private:
+    stage_demand sum_;
+    mono_time last_{};
+};
 
-/// Average of the streams that run at once.
-class stream_average
+/// Average of what runs at once.
+class run_average
 {
 public:
-    void add(double streams, mono_time now);
+    void add(double runs, mono_time now);
     double value() const
     {
         return value_;
--- a/tests/ctl_losses_test.cpp
+++ b/tests/ctl_losses_test.cpp
@@ -37,6 +37,14 @@
             {"target_ms", "500"}};
 }
 
+json ended_with_pause(const char* pause_ms)
+{
+    json end = ended("answered", "1", "300", "400", "900");
+    end["longest_pause_ms"] = pause_ms;
+    end["pause_target_ms"] = "150";
+    return end;
+}
+
 struct loss_case
 {
     const char* name;
@@ -85,6 +93,14 @@
                   {with_wait, ended("answered", "1", "300", "800", "900")},
                   &kind_losses::late,
                   "decode_wait"},
+        loss_case{"late_by_pause",
+                  {with_wait, ended_with_pause("151")},
+                  &kind_losses::late,
+                  "pause"},
+        loss_case{"in_time_with_short_pauses",
+                  {with_wait, ended_with_pause("150")},
+                  &kind_losses::in_time,
+                  ""},
         loss_case{"late_by_retry",
                   {with_wait, ended("answered", "2", "700", "800", "900")},
                   &kind_losses::late,
