--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -110,7 +110,8 @@
                      patience_in_pauses * route_->pause_target});
 }
 
-/// Counted once a request, whether it is admitted or not.
+/// Counts a request once, whether it is admitted or not: the stages answer to
+/// what callers ask for.
 void exchange::note_demand(const stream_run& run)
 {
     if (history_.tries > 0 || holds_ > 0)
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -81,9 +81,8 @@
     /// An upstream is not used for this long after another gateway has said
     /// that it leaves; gateways repeat that in each report.
     duration reported_leaving_time{std::chrono::milliseconds(2000)};
-    /// Upstreams that have ended are reported for this long. Gateways that
-    /// miss a change of the store hear of it later than this only when they
-    /// are cut off from the others too.
+    /// Upstreams that have ended are reported for this long, several times as
+    /// long as a watch of the store may be silent unnoticed.
     duration ended_report_time{std::chrono::seconds(10)};
 };
 
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -80,6 +80,30 @@
     return clamp32(std::int64_t(seconds * 1000));
 }
 
+std::vector<fb::leaving_upstream>
+to_wire(const std::vector<leaving_upstream>& leaving)
+{
+    std::vector<fb::leaving_upstream> out;
+    std::ranges::transform(
+        leaving, std::back_inserter(out),
+        [](const leaving_upstream& it)
+        { return fb::leaving_upstream(it.upstream, it.started_ms); });
+    return out;
+}
+
+std::vector<fb::service_demand> to_wire(const demand_by_service& demand)
+{
+    std::vector<fb::service_demand> out;
+    std::ranges::transform(demand, std::back_inserter(out),
+                           [](const auto& it)
+                           {
+                               return fb::service_demand(
+                                   it.first, to_wire_ms(it.second.reading),
+                                   to_wire_ms(it.second.running));
+                           });
+    return out;
+}
+
 std::optional<fb::followed_state>
 to_wire(const std::optional<followed_state>& state)
 {
@@ -112,13 +136,8 @@
         parts.emplace_back(it.upstream, it.part.digest,
                            clamp32(it.part.tokens.value),
                            clamp32(to_milliseconds(it.ready_in)));
-    std::vector<fb::leaving_upstream> leaving;
-    for (const leaving_upstream& it : report.leaving)
-        leaving.emplace_back(it.upstream, it.started_ms);
-    std::vector<fb::service_demand> demand;
-    for (const auto& [service, it] : report.demand)
-        demand.emplace_back(service, to_wire_ms(it.reading),
-                            to_wire_ms(it.running));
+    const auto leaving = to_wire(report.leaving);
+    const auto demand = to_wire(report.demand);
     const auto configuration = to_wire(report.configuration);
     builder.Finish(fb::Createload_report(
         builder, report_version, builder.CreateString(report.sender),
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -36,6 +36,10 @@
     duration age{}; ///< Since its confirmation.
 };
 
+/// By digest of the service's name.
+using demand_by_service =
+    std::vector<std::pair<std::uint64_t, policy::stage_demand>>;
+
 struct load_report
 {
     std::string sender;
@@ -45,8 +49,7 @@
     std::vector<load_report_part> parts;
     std::optional<followed_state> configuration;
     std::vector<leaving_upstream> leaving;
-    /// By digest of the service's name.
-    std::vector<std::pair<std::uint64_t, policy::stage_demand>> demand;
+    demand_by_service demand;
 };
 
 /// Connects the reports to what else gateways tell each other.
@@ -89,7 +92,7 @@
         std::uint64_t number = 0;
         mono_time heard{};
         absl::flat_hash_map<std::uint64_t, policy::placed_load> loads;
-        std::vector<std::pair<std::uint64_t, policy::stage_demand>> demand;
+        demand_by_service demand;
     };
 
     void take_out(const peer& p, std::vector<std::uint64_t>& changed);
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -119,9 +119,9 @@
     placement_choice decode;
 };
 
-/// Prompt tokens per second as a gateway sees them, with its own delay, from
-/// readings that found no other work. A loaded gateway so expects and refuses
-/// more, which is what its callers meet.
+/// Prompt tokens per second as a gateway's callers get them, its own delay
+/// included, from readings that found no other work. Answers to gateways that
+/// are loaded more than the engines: expected times and refusals follow it.
 class read_rate_estimate
 {
 public:
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -31,6 +31,7 @@
     r.parts = {{7, {99, token_count(800)}, milliseconds(40)}};
     r.configuration = followed_state{12, milliseconds(70)};
     r.leaving = {{7, 1'700'000'000'000}};
+    r.demand = {{5, {1.5, 0.25}}};
     const load_report back = decode_load_report(encode_load_report(r));
     EXPECT_EQ(back.sender, "a");
     ASSERT_TRUE(back.configuration);
@@ -44,6 +45,10 @@
     EXPECT_EQ(back.parts[0].part.digest, 99U);
     EXPECT_EQ(back.parts[0].ready_in, duration(milliseconds(40)));
     EXPECT_EQ(back.leaving, r.leaving);
+    ASSERT_EQ(back.demand.size(), 1U);
+    EXPECT_EQ(back.demand[0].first, 5U);
+    EXPECT_DOUBLE_EQ(back.demand[0].second.reading, 1.5);
+    EXPECT_DOUBLE_EQ(back.demand[0].second.running, 0.25);
 }
 
 RC_GTEST_PROP(load_report_bytes, are_refused_when_changed,
@@ -71,6 +76,30 @@
     EXPECT_EQ(loads.sum(7).runs, 1U);
 }
 
+// Demand of a gateway that is gone, or counted twice, would move engines.
+TEST(peer_loads, add_up_the_demand_of_the_latest_reports)
+{
+    peer_loads loads;
+    std::vector<std::uint64_t> changed;
+    const auto tell = [&](const char* sender, std::uint64_t n, double reading)
+    {
+        load_report r;
+        r.sender = sender;
+        r.process = 1;
+        r.number = n;
+        r.demand = {{5, {reading, 1}}};
+        loads.apply(r, mono_time(seconds(n)), changed);
+    };
+    tell("a", 1, 8);
+    tell("a", 3, 2);
+    tell("b", 3, 4);
+    EXPECT_DOUBLE_EQ(loads.demand(5).reading, 6);
+    EXPECT_DOUBLE_EQ(loads.demand(5).running, 2);
+    EXPECT_DOUBLE_EQ(loads.demand(6).reading, 0);
+    loads.forget(mono_time(seconds(4)), changed);
+    EXPECT_DOUBLE_EQ(loads.demand(5).reading, 0);
+}
+
 TEST(peer_loads, forget_a_silent_gateway)
 {
     peer_loads loads;
--- a/tests/stage_plan_load_test.cpp
+++ b/tests/stage_plan_load_test.cpp
@@ -100,6 +100,7 @@
 {
     demand_meter meter;
     std::vector<staged_engine> engines;
+    engines.reserve(engine_count);
     for (unsigned i = 0; i < engine_count; ++i)
         engines.push_back({std::to_string(i),
                            failure_domain_id(std::to_string(i % 3)),
