Gateway: KV cache that a runner rejects is run elsewhere, second readings take from the budget

Cause: after a runner without room had answered 503, the prompt was read again. Change: a run that was rejected once goes to another runner with the same handle; a second reading takes a repeat of its own and is refused without one. Result: both cases of the new test fail before (2 readings, 8 arrivals of 5) and pass now.

--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -40,8 +40,9 @@
     enum class loop_step
     {
         go_on,
-        again, ///< From the placement on.
-        ended  ///< The final answer has been given.
+        again,     ///< From the placement on.
+        run_again, ///< With the prompt that has been read, elsewhere.
+        ended      ///< The final answer has been given.
     };
     /// Where one run of a stream is placed.
     struct stream_run
@@ -50,6 +51,7 @@
         upstream_ptr reader; ///< Null: the runner reads the prompt.
         upstream_ptr runner;
         kv_handle kv;
+        bool is_moved = false; ///< A runner rejected the KV cache before.
     };
     /// Largest answer that is collected before it is passed on.
     static constexpr std::size_t max_plain_answer = 4 << 20; // bytes
@@ -76,6 +78,8 @@
     asio::awaitable<loop_step> prepare(stream_run& run);
     asio::awaitable<loop_step> prepare_apart(stream_run& run);
     asio::awaitable<loop_step> serve(stream_run& run);
+    /// Another runner for KV cache that was not taken, if one is left.
+    bool move_run(stream_run& run, try_result result) const;
     asio::awaitable<void> finish(stream_end end, next_step step);
 
     asio::awaitable<plain_answer> try_plain(upstream_ptr u,
--- a/tests/platform/gateway_streams_test.cpp
+++ b/tests/platform/gateway_streams_test.cpp
@@ -323,5 +323,87 @@
               to_string(reader.address()) + "/h");
 }
 
+struct rejecting_runners_case
+{
+    const char* name;
+    unsigned rejecting; ///< Runners without room.
+    unsigned ready;     ///< Runners that serve.
+    const char* status;
+    unsigned most_readings;
+};
+
+class rejecting_runners
+    : public gateway_test,
+      public testing::WithParamInterface<rejecting_runners_case>
+{
+protected:
+    scripted_answer read(const std::string& head)
+    {
+        if (field_of(head, "Serving-Stage") != "prefill")
+            return {whole_answer(404, "", "")};
+        ++readings_;
+        return {.bytes = whole_answer(200, field_of(head, "Attempt-Id"),
+                                      R"({"kvHandle":"h"})"),
+                .delay = milliseconds(20)};
+    }
+    scripted_answer reject(const std::string& head)
+    {
+        if (head.starts_with("GET"))
+            return {whole_answer(404, "", "")};
+        ++runs_;
+        return {whole_answer(503, field_of(head, "Attempt-Id"), "",
+                             "Not-Executed: 1\r\n")};
+    }
+    scripted_answer serve(const std::string& head)
+    {
+        if (head.starts_with("GET"))
+            return {whole_answer(404, "", "")};
+        ++runs_;
+        return {stream_head(field_of(head, "Attempt-Id")) + chunk("id: 1\n\n") +
+                "0\r\n\r\n"};
+    }
+
+    std::atomic<unsigned> readings_ = 0;
+    std::atomic<unsigned> runs_ = 0;
+};
+
+// A prompt whose KV cache a full runner had rejected was read again, and that
+// reading took nothing from the retry budget.
+TEST_P(rejecting_runners, cost_no_more_than_the_budget_has)
+{
+    const rejecting_runners_case& c = GetParam();
+    scripted_upstream reader([this](const std::string& head)
+                             { return read(head); });
+    std::vector<std::unique_ptr<scripted_upstream>> runners;
+    for (unsigned i = 0; i < c.rejecting + c.ready; ++i)
+    {
+        runners.push_back(std::make_unique<scripted_upstream>(
+            [this, i, &c](const std::string& head)
+            { return i < c.rejecting ? reject(head) : serve(head); }));
+        // Those of the reader's failure domain are chosen first.
+        add_upstream("run-" + std::to_string(i), runners[i]->address(),
+                     "writers", "decode", i < c.rejecting ? "z" : "far");
+    }
+    add_upstream("read", reader.address(), "writers", "prefill");
+    start();
+    const std::string answer =
+        fetch("POST /stream/x HTTP/1.1\r\nHost: a.example\r\n"
+              "Attempt-Id: 5\r\nDeadline-Ms: 3000\r\nModel: m\r\n"
+              "Token-Count: 9000,20\r\nPrompt-Prefix: aa:4000,bb:5000\r\n"
+              "Content-Length: 0\r\n\r\n",
+              "0\r\n\r\n");
+    EXPECT_EQ(status_of(answer), c.status);
+    EXPECT_LE(readings_, c.most_readings);
+    // A gateway starts with three repeats; the first reading and the first run
+    // are none.
+    EXPECT_LE(readings_ + runs_, 2U + 3);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    fleets, rejecting_runners,
+    testing::Values(rejecting_runners_case{"one_is_full", 1, 1, "200", 1},
+                    rejecting_runners_case{"all_are_full", 6, 0, "503", 2}),
+    [](const auto& it) { return it.param.name; });
+
 } // namespace
 } // namespace poplar::gateway
