--- a/store/http_store.cpp
+++ b/store/http_store.cpp
@@ -210,8 +210,11 @@
     store_call call = dialect_.watch(prefix, after, timeout);
     const std::string what = call.method + " " + call.path;
     client_request request = make_request(std::move(call));
-    request.timeout =
+    // A large answer takes longer than the margin on a slow link; it counts as
+    // overdue only when no byte of it has come.
+    request.idle_timeout =
         timeout + std::min(options_.timeout, options_.watch_margin);
+    request.timeout = timeout + options_.timeout;
     client_result result;
     absl::Notification done;
     const auto keep = [&](client_result r)
--- a/store/object_store.hpp
+++ b/store/object_store.hpp
@@ -135,8 +135,9 @@
 {
     ip_address address;
     duration timeout = std::chrono::seconds(2); ///< For one call.
-    /// Time for the answer to a watch beyond its wait. Shorter than that of
-    /// other calls, since it delays changes when a connection has gone silent.
+    /// Time beyond the wait of a watch in which its answer has to begin.
+    /// Shorter than that of other calls, since it delays changes when a
+    /// connection has gone silent.
     duration watch_margin = std::chrono::seconds(1);
 };
 
