Gateway: log the request limits that upstreams announce

Change: the field is decoded (the lowest of several values; a malformed one is ignored and logged). Event 928 tells that a limit begins, changes or ends; event 930 the calls of this gateway to limited upstreams, once a second. A limit ends with an own answer to a request sent after it was last announced, since answers may overtake each other; answers to other requests and from another process at the address do not count. Placement is unchanged.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -156,7 +156,7 @@
     c.timeout = options.remaining_time + answer_margin;
     if (!history_.is_repeatable && !options.prefill_only)
         c.max_idle = max_idle_unrepeatable;
-    c.hooks = state_.upstreams.hooks_for(u);
+    c.hooks = state_.upstreams.begin_call(u);
     return c;
 }
 
--- a/gateway/exchange_prefill.cpp
+++ b/gateway/exchange_prefill.cpp
@@ -175,7 +175,7 @@
         if (it->record.address == kv.source)
             return asio::co_spawn(
                 state_.loop,
-                release_kv(it, kv, info_.id, state_.upstreams.hooks_for(it)),
+                release_kv(it, kv, info_.id, state_.upstreams.begin_call(it)),
                 asio::detached);
 }
 
--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -23,6 +23,9 @@
 /// Saved health of a removed entry is discarded after this time; the entry is
 /// then not expected to return.
 constexpr duration max_absence = std::chrono::minutes(10);
+/// Status with which a process answers requests that are meant for another one.
+constexpr unsigned status_misdirected = 421;
+constexpr duration limited_calls_interval = std::chrono::seconds(1);
 
 /// True if the entry now describes another process, address or service.
 bool is_restarted(const upstream_record& before, const upstream_record& after)
@@ -122,9 +125,7 @@
 
 void fleet::erase(const upstream_ptr& it)
 {
-    if (!it->health.accepts_requests(now()))
-        saved_health_[it->record.id] = {it->record.started_ms, it->health,
-                                        now()};
+    save_health(*it, now());
     it->placed.usable = false;
     it->connections.close_idle();
     std::erase(fleet_of(it->record.service).members, it);
@@ -132,6 +133,13 @@
     upstreams_.erase(it->record.id);
 }
 
+void fleet::save_health(const upstream& u, mono_time now)
+{
+    if (!u.health.accepts_requests(now) || u.limit->is_active())
+        saved_health_[u.record.id] = {u.record.started_ms, u.health, u.limit,
+                                      now};
+}
+
 void fleet::restore_health(upstream& u, mono_time now)
 {
     const auto saved = saved_health_.find(u.record.id);
@@ -141,7 +149,10 @@
     // later process has an earlier start time.
     if (saved->second.started_ms == u.record.started_ms &&
         now - saved->second.removed_at < max_absence)
+    {
         u.health = saved->second.health;
+        u.limit = saved->second.limit;
+    }
     saved_health_.erase(saved);
 }
 
@@ -191,7 +202,8 @@
     }
 }
 
-void fleet::note_answer(upstream& u, const answer_info& answer, mono_time now)
+void fleet::note_answer(upstream& u, const answer_info& answer,
+                        std::optional<mono_time> sent, mono_time now)
 {
     if (answer.is_leaving && !u.health.is_leaving())
     {
@@ -217,10 +229,52 @@
                           {"pause_ms", to_milliseconds(pause_end - now)}});
         u.health.pause_until(pause_end);
     }
+    note_limit(u, answer, sent, now);
     u.update_placed(now);
     propagate_health(u, now);
 }
 
+void fleet::note_limit(upstream& u, const answer_info& answer,
+                       std::optional<mono_time> sent, mono_time now)
+{
+    if (answer.has_bad_limit)
+        observe::log(event::gateway_upstream_bad_limit,
+                     {{"upstream", u.record.id.value}});
+    // The answer may come from another process at a reused address.
+    if (answer.status == status_misdirected || answer.has_bad_limit)
+        return;
+    const upstream_ptr current = find(u.record.id);
+    if (current && current->record.started_ms == u.record.started_ms)
+        u.limit = current->limit;
+    const bool is_changed = answer.request_limit
+                                ? u.limit->announce(*answer.request_limit, now)
+                                : sent && u.limit->end(*sent);
+    if (is_changed)
+        observe::log(event::gateway_upstream_limit,
+                     {{"upstream", u.record.id.value},
+                      {"per_second", u.limit->is_active()
+                                         ? std::to_string(u.limit->per_second())
+                                         : "none"},
+                      {"told_by", "upstream"}});
+}
+
+void fleet::log_limited_calls(mono_time now)
+{
+    if (now - limited_calls_logged_at_ < limited_calls_interval)
+        return;
+    limited_calls_logged_at_ = now;
+    for (const auto& [id, u] : upstreams_)
+    {
+        const unsigned calls = u->limit->take_call_count();
+        if (calls > 0 && u->limit->is_active())
+            observe::log(
+                event::gateway_limited_calls,
+                {{"upstream", id.value},
+                 {"per_second", std::to_string(u->limit->per_second())},
+                 {"calls", calls}});
+    }
+}
+
 /// Copies health learned from an answer to the current entry of the process.
 /// The entry may have been removed and restored while the call was open, so `u`
 /// may no longer be the listed object.
@@ -229,8 +283,7 @@
     const upstream_ptr current = find(u.record.id);
     if (!current)
     {
-        if (!u.health.accepts_requests(now))
-            saved_health_[u.record.id] = {u.record.started_ms, u.health, now};
+        save_health(u, now);
     }
     else if (current.get() != &u &&
              current->record.started_ms == u.record.started_ms)
@@ -242,12 +295,13 @@
     }
 }
 
-call_hooks fleet::hooks_for(const upstream_ptr& u)
+call_hooks fleet::begin_call(const upstream_ptr& u)
 {
+    u->limit->record_call();
     return {[u] { return u->health.accepts_requests(now()); },
-            [this, u](const answer_info& a)
+            [this, u](const answer_info& a, std::optional<mono_time> sent)
             {
-                note_answer(*u, a, now());
+                note_answer(*u, a, sent, now());
             }};
 }
 
@@ -324,6 +378,7 @@
         erase(it);
     }
     discard_old_health(now);
+    log_limited_calls(now);
     std::erase_if(ended_, [&](const auto& it)
                   { return now - it.second >= settings_.ended_report_time; });
 }
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -9,6 +9,7 @@
 #include "gateway/types.hpp"
 #include "gateway/upstream_call.hpp"
 #include "policy/engine_placement.hpp"
+#include "policy/request_limit.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/stage_plan.hpp"
 #include "policy/stall_detector.hpp"
@@ -38,6 +39,10 @@
     const std::uint64_t key; ///< Digest of the id, equal on all gateways.
     policy::placed_engine placed;
     policy::upstream_health health;
+    /// Shared with calls that outlive this object, and with the next object for
+    /// the same process.
+    std::shared_ptr<policy::request_limit> limit =
+        std::make_shared<policy::request_limit>();
     connection_pool connections;
     /// Open prefill calls of split requests; another engine decodes.
     policy::stall_detector open_prefills;
@@ -123,10 +128,13 @@
     void close_idle_connections();
 
     /// Applies what an answer says about the upstream itself: that it is
-    /// leaving, or asks for a pause.
-    void note_answer(upstream& u, const answer_info& answer, mono_time now);
-    /// Hooks for calls to an upstream; the fleet must outlive the calls.
-    call_hooks hooks_for(const upstream_ptr& u);
+    /// leaving, asks for a pause or limits the request rate. `sent` is when the
+    /// request was sent; empty for a late answer to another request.
+    void note_answer(upstream& u, const answer_info& answer,
+                     std::optional<mono_time> sent, mono_time now);
+    /// Records a call to an upstream and returns the hooks for it; the fleet
+    /// must outlive the call.
+    call_hooks begin_call(const upstream_ptr& u);
     /// Time from `now` until the first paused upstream of the service may be
     /// used again; empty if none is paused.
     static std::optional<duration> shortest_pause(const service_fleet& service,
@@ -156,21 +164,29 @@
     }
 
 private:
-    /// Health of a process whose entry was removed. A pause or shutdown that it
-    /// announced still holds if the entry returns for the same process.
+    /// Health of a process whose entry was removed. A pause, limit or shutdown
+    /// that it announced still holds if the entry returns for the same process.
     struct saved_health
     {
         std::int64_t started_ms = 0;
         policy::upstream_health health;
+        std::shared_ptr<policy::request_limit> limit;
         mono_time removed_at{};
     };
 
     service_fleet& fleet_of(const service_id& service);
-    /// Drops the upstream, and saves its health if it does not accept requests.
+    /// Drops the upstream, and saves what it announced about itself.
     void erase(const upstream_ptr& it);
+    /// Saves health and limit of an upstream without an entry, if it does not
+    /// accept requests at any rate.
+    void save_health(const upstream& u, mono_time now);
     void propagate_health(const upstream& u, mono_time now);
     void restore_health(upstream& u, mono_time now);
     void discard_old_health(mono_time now);
+    void note_limit(upstream& u, const answer_info& answer,
+                    std::optional<mono_time> sent, mono_time now);
+    /// Logs the calls to upstreams that have announced a limit.
+    void log_limited_calls(mono_time now);
     void set_limits(upstream& u) const;
     bool may_lapse(mono_time now) const;
 
@@ -183,6 +199,7 @@
     std::map<upstream_id, saved_health> saved_health_;
     /// Upstreams whose entries were removed, with the time of the removal.
     std::map<leaving_upstream, mono_time> ended_;
+    mono_time limited_calls_logged_at_{};
     bool store_connected_ = false;
     mono_time store_lost_at_{};
     mono_time store_back_at_{};
--- a/gateway/types.hpp
+++ b/gateway/types.hpp
@@ -153,6 +153,10 @@
     std::optional<duration> pause;
     bool has_bad_pause = false; ///< The pause field is malformed.
     bool is_leaving = false;    ///< The upstream announced its shutdown.
+    /// Requests per second that the upstream accepts from all gateways
+    /// together; empty if it states no limit.
+    std::optional<double> request_limit;
+    bool has_bad_limit = false; ///< The limit field is malformed.
 };
 
 /// Refers to KV cache that an upstream holds for a request after its prefill.
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -176,6 +176,7 @@
 /// write.
 void upstream_call::send()
 {
+    sent_at_ = now();
     outgoing_ =
         std::make_shared<outgoing>(std::move(request_.head), request_.body);
     http::async_write(
@@ -200,8 +201,10 @@
     {
         info_ = platform::decode_answer(parser_->get());
         is_complete_ = parser_->is_done();
+        const bool is_own = !info_.id.empty() && info_.id == request_.id;
         if (request_.hooks.on_answer_head)
-            request_.hooks.on_answer_head(info_);
+            request_.hooks.on_answer_head(
+                info_, is_own ? std::optional(sent_at_) : std::nullopt);
     }
     co_return status;
 }
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -37,8 +37,10 @@
 {
     /// Called once connected; if it returns false, the request is not sent.
     std::function<bool()> may_send;
-    /// Called with each answer head, also of late answers to other requests.
-    std::function<void(const answer_info&)> on_answer_head;
+    /// Called with each answer head. `sent` is when the request was sent; it is
+    /// empty for a late answer to another request.
+    std::function<void(const answer_info&, std::optional<mono_time> sent)>
+        on_answer_head;
 };
 
 /// A request to be sent by `upstream_call`.
@@ -116,6 +118,7 @@
     mono_time step_deadline_; ///< Deadline of the current read.
     connection_ptr connection_;
     std::shared_ptr<outgoing> outgoing_;
+    mono_time sent_at_{};
     std::optional<parser> parser_;
     answer_info info_;
     error_code failure_;
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -188,7 +188,7 @@
 {
     answer_info a;
     a.is_leaving = true;
-    f.note_answer(*f.find(upstream_id("u")), a, now);
+    f.note_answer(*f.find(upstream_id("u")), a, now, now);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -185,6 +185,48 @@
                     answer_case{"leaves", 200, "Connection", "close", false}),
     [](const auto& it) { return it.param.name; });
 
+struct request_limit_case
+{
+    const char* name;
+    std::vector<const char*> values;
+    std::optional<double> per_second;
+    bool is_bad = false;
+};
+
+class request_limits : public testing::TestWithParam<request_limit_case>
+{
+};
+
+TEST_P(request_limits, are_read)
+{
+    answer_head h;
+    for (const char* it : GetParam().values)
+        h.insert("Server-Limit", it);
+    const gateway::answer_info a = decode_answer(h);
+    EXPECT_EQ(a.request_limit, GetParam().per_second);
+    EXPECT_EQ(a.has_bad_limit, GetParam().is_bad);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    values, request_limits,
+    testing::Values(request_limit_case{"none", {}, std::nullopt},
+                    request_limit_case{"decimal", {"3.1"}, 3.1},
+                    request_limit_case{"zero", {"0"}, 0.0},
+                    request_limit_case{"lowest_counts", {"5", "3", "4"}, 3.0},
+                    request_limit_case{"empty", {""}, std::nullopt, true},
+                    request_limit_case{"negative", {"-1"}, std::nullopt, true},
+                    request_limit_case{"not_a_number",
+                                       {"nan"},
+                                       std::nullopt,
+                                       true},
+                    request_limit_case{"infinite",
+                                       {"inf"},
+                                       std::nullopt,
+                                       true},
+                    request_limit_case{"unit", {"3/s"}, std::nullopt, true},
+                    request_limit_case{"one_bad", {"3", "x"}, 3.0, true}),
+    [](const auto& it) { return it.param.name; });
+
 TEST(decode_answer, ignores_an_idle_limit_out_of_range)
 {
     answer_head h;
