Gateways keep together to the request limit that an upstream announces

Cause: the announcement was not read, and nothing divides a limit that holds for all gateways: pauses are kept by each gateway for itself, and load reports told peers only who leaves. Two requests a second or more make a share; the gateways that hold one are chosen by rendezvous hashing over the gateways heard of in the last 10 s, the others send nothing. Small shares for all would let the first request of each exceed a low limit. A share starts without credit, so that requests sent before the announcement are not added to. Without news for 10 s the shares pass to other gateways, whose callers may have requests. Placement skips an upstream without room; KV cache is still fetched from it. When no upstream is left, the caller is refused at once and told when there is room. Load reports carry limits and their ends with their age; only news from own answers is passed on, so that none comes back as newer than it is. A limit belongs to the process: it survives the removal of its entry, and not a restart of the upstream.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -129,7 +129,7 @@
 
 upstream_ptr exchange::choose_call_upstream()
 {
-    const auto instances = engines_of(*fleet_);
+    const auto instances = engines_of(*fleet_, now());
     const auto i =
         policy::choose_instance({}, instances, state_.settings.failure_domain,
                                 excluded_indices(), state_.random());
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -53,7 +53,7 @@
 
 std::optional<policy::placement_plan> exchange::plan_engines()
 {
-    const auto engines = engines_of(*fleet_);
+    const auto engines = engines_of(*fleet_, now());
     return fleet_->placement.plan(engines, placed_request(),
                                   excluded_indices());
 }
@@ -62,7 +62,7 @@
 upstream_ptr
 exchange::choose_decode_engine(const upstream& prefill_engine) const
 {
-    const auto engines = engines_of(*fleet_);
+    const auto engines = engines_of(*fleet_, now());
     const auto choice = fleet_->placement.choose_decode(
         engines, placed_request(), prefill_engine.placed, excluded_indices());
     return choice ? fleet_->members[choice->engine] : nullptr;
--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -40,6 +40,7 @@
 {
     placed.usable =
         record.state == upstream_state::ready && health.is_usable(now);
+    placed.is_rate_limited = !limit->admits(now);
     placed.penalty_seconds = health.penalty_seconds();
 }
 
@@ -248,14 +249,69 @@
         u.limit = current->limit;
     const bool is_changed = answer.request_limit
                                 ? u.limit->announce(*answer.request_limit, now)
-                                : sent && u.limit->end(*sent);
+                                : sent && u.limit->end(*sent, now);
+    update_share(u, now);
     if (is_changed)
-        observe::log(event::gateway_upstream_limit,
-                     {{"upstream", u.record.id.value},
-                      {"per_second", u.limit->is_active()
-                                         ? std::to_string(u.limit->per_second())
-                                         : "none"},
-                      {"told_by", "upstream"}});
+        log_limit(u, "upstream");
+}
+
+void fleet::log_limit(const upstream& u, const char* told_by)
+{
+    const policy::request_limit& limit = *u.limit;
+    observe::log(
+        event::gateway_upstream_limit,
+        {{"upstream", u.record.id.value},
+         {"per_second",
+          limit.is_active() ? std::to_string(limit.per_second()) : "none"},
+         {"share", std::to_string(limit.share())},
+         {"told_by", told_by}});
+}
+
+void fleet::update_share(upstream& u, mono_time now) const
+{
+    u.limit->update_share(u.key, self_, peers_, now);
+}
+
+std::vector<announced_limit> fleet::announced_limits(std::size_t max_count,
+                                                     mono_time now) const
+{
+    std::vector<announced_limit> found;
+    for (const auto& [id, u] : upstreams_)
+    {
+        const policy::request_limit& limit = *u->limit;
+        const duration age = now - limit.learned_at();
+        if (found.size() >= max_count || !limit.is_own_news() ||
+            (!limit.is_active() && age >= settings_.ended_report_time))
+            continue;
+        found.push_back({u->key, u->record.started_ms,
+                         limit.is_active() ? std::optional(limit.per_second())
+                                           : std::nullopt,
+                         age});
+    }
+    return found;
+}
+
+void fleet::apply_reported_limits(std::span<const announced_limit> reported,
+                                  mono_time now)
+{
+    for (const announced_limit& it : reported)
+    {
+        const upstream_ptr u = find_by_key(it.upstream);
+        if (!u || u->record.started_ms != it.started_ms ||
+            !u->limit->apply_reported(it.per_second, now - it.age))
+            continue;
+        update_share(*u, now);
+        log_limit(*u, "gateway");
+    }
+}
+
+void fleet::set_gateways(std::string self, std::vector<std::string> peers,
+                         mono_time now)
+{
+    self_ = std::move(self);
+    peers_ = std::move(peers);
+    for (const auto& [id, u] : upstreams_)
+        update_share(*u, now);
 }
 
 void fleet::log_limited_calls(mono_time now)
@@ -271,6 +327,7 @@
                 event::gateway_limited_calls,
                 {{"upstream", id.value},
                  {"per_second", std::to_string(u->limit->per_second())},
+                 {"share", std::to_string(u->limit->share())},
                  {"calls", calls}});
     }
 }
@@ -297,7 +354,7 @@
 
 call_hooks fleet::begin_call(const upstream_ptr& u)
 {
-    u->limit->record_call();
+    u->limit->record_call(now());
     return {[u] { return u->health.accepts_requests(now()); },
             [this, u](const answer_info& a, std::optional<mono_time> sent)
             {
@@ -313,9 +370,13 @@
     {
         if (it->record.state != upstream_state::ready ||
             it->health.is_leaving() || it->health.is_reported_leaving(now) ||
-            it->health.is_usable(now))
+            (it->health.is_usable(now) && it->limit->admits(now)))
             continue;
-        const duration pause = it->health.usable_at() - now;
+        const auto admitted_at = it->limit->admits_at(now);
+        if (!admitted_at)
+            continue;
+        const duration pause =
+            std::max(it->health.usable_at(), *admitted_at) - now;
         shortest = std::min(shortest.value_or(pause), pause);
     }
     return shortest;
@@ -435,12 +496,15 @@
 }
 
 std::vector<const policy::placed_engine*>
-engines_of(const service_fleet& service)
+engines_of(const service_fleet& service, mono_time now)
 {
     std::vector<const policy::placed_engine*> engines;
     engines.reserve(service.members.size());
     for (const upstream_ptr& it : service.members)
+    {
+        it->placed.is_rate_limited = !it->limit->admits(now);
         engines.push_back(&it->placed);
+    }
     return engines;
 }
 
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -57,7 +57,8 @@
     /// Zero while the entry exists.
     mono_time lapse_deadline{};
 
-    /// Copies health and entry state into `placed`, for placement decisions.
+    /// Copies health, limit and entry state into `placed`, for placement
+    /// decisions.
     void update_placed(mono_time now);
 };
 
@@ -71,6 +72,17 @@
     auto operator<=>(const leaving_upstream&) const = default;
 };
 
+/// What an upstream process announced in an answer to a gateway: a limit on the
+/// request rate of all gateways together, or its end.
+struct announced_limit
+{
+    std::uint64_t upstream = 0; ///< Digest of its id.
+    std::int64_t started_ms = 0;
+    std::optional<double> per_second; ///< Empty: no limit any more.
+    duration age{};                   ///< Since the answer was received.
+    bool operator==(const announced_limit&) const = default;
+};
+
 /// The upstreams of one service and the policies that apply to it.
 struct service_fleet
 {
@@ -135,8 +147,8 @@
     /// Records a call to an upstream and returns the hooks for it; the fleet
     /// must outlive the call.
     call_hooks begin_call(const upstream_ptr& u);
-    /// Time from `now` until the first paused upstream of the service may be
-    /// used again; empty if none is paused.
+    /// Time from `now` until the first paused or rate-limited upstream of the
+    /// service may be used again; empty if there is none.
     static std::optional<duration> shortest_pause(const service_fleet& service,
                                                   mono_time now);
 
@@ -150,6 +162,17 @@
     void apply_reported_leaving(std::span<const leaving_upstream> reported,
                                 mono_time now);
 
+    /// At most `max_count` limits, or ends of limits, that this gateway learned
+    /// from answers.
+    std::vector<announced_limit> announced_limits(std::size_t max_count,
+                                                  mono_time now) const;
+    /// Applies what a peer gateway learned from answers.
+    void apply_reported_limits(std::span<const announced_limit> reported,
+                               mono_time now);
+    /// Sets the gateways that divide the limits of upstreams among them.
+    void set_gateways(std::string self, std::vector<std::string> peers,
+                      mono_time now);
+
     /// Null if no upstream has registered for the service.
     service_fleet* find(const service_id& service);
     upstream_ptr find(const upstream_id& id) const;
@@ -185,6 +208,8 @@
     void discard_old_health(mono_time now);
     void note_limit(upstream& u, const answer_info& answer,
                     std::optional<mono_time> sent, mono_time now);
+    void update_share(upstream& u, mono_time now) const;
+    static void log_limit(const upstream& u, const char* told_by);
     /// Logs the calls to upstreams that have announced a limit.
     void log_limited_calls(mono_time now);
     void set_limits(upstream& u) const;
@@ -199,6 +224,8 @@
     std::map<upstream_id, saved_health> saved_health_;
     /// Upstreams whose entries were removed, with the time of the removal.
     std::map<leaving_upstream, mono_time> ended_;
+    std::string self_;
+    std::vector<std::string> peers_; ///< Other gateways.
     mono_time limited_calls_logged_at_{};
     bool store_connected_ = false;
     mono_time store_lost_at_{};
@@ -213,8 +240,9 @@
 /// True if any upstream of the service is an engine.
 bool has_engines(const service_fleet& service);
 
-/// Placement state of the service's members, in the order of `members`.
+/// Placement state of the service's members at this time, in the order of
+/// `members`.
 std::vector<const policy::placed_engine*>
-engines_of(const service_fleet& service);
+engines_of(const service_fleet& service, mono_time now);
 
 } // namespace poplar::gateway
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 #include <ranges>
 
 namespace poplar::gateway
@@ -47,6 +48,14 @@
 /// expected to leave within the time for which they are reported; further ones
 /// are left out.
 constexpr std::size_t max_leaving = 200;
+/// Limit of announced request limits in one report, 32 bytes each; further ones
+/// are left out.
+constexpr std::size_t max_limits = 200;
+/// Time without reports after which a gateway no longer has a share of the
+/// request limits of upstreams.
+constexpr duration gateway_timeout = std::chrono::seconds(10);
+/// Rate on the wire that stands for the end of a limit.
+constexpr double no_limit = -1;
 
 std::uint32_t clamp32(std::int64_t n)
 {
@@ -97,6 +106,32 @@
     return out;
 }
 
+std::vector<fb::request_limit>
+to_wire(const std::vector<announced_limit>& limits)
+{
+    std::vector<fb::request_limit> out;
+    std::ranges::transform(limits, std::back_inserter(out),
+                           [](const announced_limit& it)
+                           {
+                               return fb::request_limit(
+                                   it.upstream, it.started_ms,
+                                   it.per_second.value_or(no_limit),
+                                   clamp32(to_milliseconds(it.age)));
+                           });
+    return out;
+}
+
+/// Empty if the rate is malformed.
+std::optional<announced_limit> from_wire(const fb::request_limit& in)
+{
+    const double rate = in.per_second();
+    if (!std::isfinite(rate))
+        return std::nullopt;
+    return announced_limit{in.upstream(), in.started_ms(),
+                           rate < 0 ? std::nullopt : std::optional(rate),
+                           std::chrono::milliseconds(in.age_ms())};
+}
+
 std::vector<fb::service_demand> to_wire(const demand_by_service& demand)
 {
     std::vector<fb::service_demand> out;
@@ -144,6 +179,7 @@
                             clamp32(to_milliseconds(it.ready_in)));
     const auto leaving = to_wire(report.leaving);
     const auto demand = to_wire(report.demand);
+    const auto limits = to_wire(report.limits);
     const auto configuration = to_wire(report.configuration);
     builder.Finish(fb::Createload_report(
         builder, report_version, builder.CreateString(report.sender),
@@ -151,7 +187,8 @@
         builder.CreateVectorOfStructs(blocks),
         configuration ? &*configuration : nullptr,
         builder.CreateVectorOfStructs(leaving),
-        builder.CreateVectorOfStructs(demand)));
+        builder.CreateVectorOfStructs(demand),
+        builder.CreateVectorOfStructs(limits)));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -187,6 +224,10 @@
             report.demand.push_back(
                 {it->service(),
                  {it->reading_ms() / 1000.0, it->running_ms() / 1000.0}});
+    if (in->limits())
+        for (const fb::request_limit* it : *in->limits())
+            if (const auto limit = from_wire(*it))
+                report.limits.push_back(*limit);
     return report;
 }
 
@@ -342,6 +383,7 @@
         loads_.expire(cutoff, changed);
         update_fleet(changed);
         hooks_.on_peers_expired(cutoff);
+        update_gateways();
         if (!peers_.empty())
             send();
     }
@@ -356,6 +398,7 @@
         if (!is_zero(u->placed.own_load))
             report.loads.emplace_back(u->key, u->placed.own_load);
     report.leaving = upstreams_.leaving(max_leaving, now());
+    report.limits = upstreams_.announced_limits(max_limits, now());
     for (const auto& [name, it] : upstreams_.services())
         if (has_engines(it))
             report.demand.emplace_back(digest(name.value),
@@ -421,12 +464,26 @@
         peers_.push_back(from);
     hooks_.on_report(report);
     upstreams_.apply_reported_leaving(report.leaving, now());
+    if (report.sender != sender_ &&
+        gateways_.insert_or_assign(report.sender, now()).second)
+        update_gateways();
+    upstreams_.apply_reported_limits(report.limits, now());
     for (const reported_block& it : report.blocks)
         if (const upstream_ptr u = upstreams_.find_by_key(it.upstream))
             u->placed.cache.add({&it.block, 1}, now() + it.ready_in);
     update_fleet(changed);
 }
 
+void load_exchange::update_gateways()
+{
+    const mono_time cutoff = now() - gateway_timeout;
+    std::erase_if(gateways_,
+                  [&](const auto& it) { return it.second < cutoff; });
+    std::vector<std::string> peers;
+    std::ranges::copy(gateways_ | std::views::keys, std::back_inserter(peers));
+    upstreams_.set_gateways(sender_, std::move(peers), now());
+}
+
 void load_exchange::update_fleet(const std::vector<std::uint64_t>& changed)
 {
     for (const std::uint64_t key : changed)
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -55,6 +55,7 @@
     std::optional<followed_state> configuration;
     std::vector<leaving_upstream> leaving;
     demand_by_service demand;
+    std::vector<announced_limit> limits;
 };
 
 /// Hooks for state that other components share through the load reports.
@@ -145,6 +146,8 @@
     /// yet becomes a peer with its first report.
     void apply_report(const load_report& report,
                       const asio::ip::udp::endpoint& from);
+    /// Passes the gateways heard of recently to the fleet.
+    void update_gateways();
     /// Copies the summed load of peers to the upstreams with these keys.
     void update_fleet(const std::vector<std::uint64_t>& changed);
     /// Time between reports.
@@ -168,6 +171,10 @@
     /// Blocks added since the last report.
     std::vector<reported_block> pending_blocks_;
     peer_loads loads_;
+    /// Peers by instance id, with the time of their last report. They are kept
+    /// longer than their loads: gateways that disagree about the set would
+    /// together use more than the limit of an upstream.
+    std::map<std::string, mono_time> gateways_;
     std::uint64_t number_ = 0;
     bool was_idle_ = false;
     mono_time last_sent_{};
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -74,7 +74,8 @@
     for (std::size_t i = 0; i < engines.size(); ++i)
     {
         const placed_engine& e = *engines[i];
-        if (!e.usable || e.stage != stage || contains(excluded, i))
+        if (!e.usable || e.is_rate_limited || e.stage != stage ||
+            contains(excluded, i))
             continue;
         const auto [choice, cost] = estimate(i);
         const std::uint64_t p = preference(e, request);
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -202,6 +202,117 @@
                                  false}),
     [](const auto& it) { return it.param.name; });
 
+answer_info answer_with_limit(std::optional<double> per_second,
+                              unsigned status = 200)
+{
+    answer_info a;
+    a.status = status;
+    a.request_limit = per_second;
+    return a;
+}
+
+struct limit_case
+{
+    const char* name;
+    std::function<void(fleet&, mono_time)> learn;
+    bool is_limited;
+};
+
+class limited_upstream : public fleet_test,
+                         public testing::WithParamInterface<limit_case>
+{
+};
+
+TEST_P(limited_upstream, is_known_by_its_process)
+{
+    GetParam().learn(upstreams_, time_);
+    const upstream_ptr u = upstreams_.find(upstream_id("u"));
+    EXPECT_EQ(u->limit->is_active(), GetParam().is_limited);
+}
+
+void announce_limit(fleet& f, mono_time now)
+{
+    f.note_answer(*f.find(upstream_id("u")), answer_with_limit(3), now, now);
+}
+
+void announce_and_register(fleet& f, mono_time now, std::int64_t started_ms)
+{
+    announce_limit(f, now);
+    f.remove(upstream_id("u"), now);
+    upstream_record r = record_of("u");
+    r.started_ms = started_ms;
+    f.apply(r);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    ways, limited_upstream,
+    testing::Values(
+        limit_case{"announced", announce_limit, true},
+        limit_case{"registered_again",
+                   [](fleet& f, mono_time now)
+                   { announce_and_register(f, now, 0); },
+                   true},
+        limit_case{"restarted",
+                   [](fleet& f, mono_time now)
+                   { announce_and_register(f, now, 5); },
+                   false},
+        limit_case{"announced_while_its_entry_is_missing",
+                   [](fleet& f, mono_time)
+                   {
+                       const upstream_ptr u = f.find(upstream_id("u"));
+                       // `apply` reads the clock itself.
+                       const mono_time at = poplar::now();
+                       f.remove(upstream_id("u"), at);
+                       f.note_answer(*u, answer_with_limit(3), at, at);
+                       f.apply(record_of("u"));
+                   },
+                   true},
+        limit_case{"ended_by_a_call_begun_before_its_entry_was_missing",
+                   [](fleet& f, mono_time now)
+                   {
+                       const upstream_ptr u = f.find(upstream_id("u"));
+                       announce_and_register(f, now, 0);
+                       f.note_answer(*u, answer_with_limit({}), now, now);
+                   },
+                   false},
+        limit_case{"announced_by_another_process_at_the_address",
+                   [](fleet& f, mono_time now)
+                   {
+                       f.note_answer(*f.find(upstream_id("u")),
+                                     answer_with_limit(3, 421), now, now);
+                   },
+                   false},
+        limit_case{"reported_by_a_peer",
+                   [](fleet& f, mono_time now)
+                   {
+                       const announced_limit it{
+                           f.find(upstream_id("u"))->key, 0, 3, {}};
+                       f.apply_reported_limits({&it, 1}, now);
+                   },
+                   true},
+        limit_case{"reported_for_another_process",
+                   [](fleet& f, mono_time now)
+                   {
+                       const announced_limit it{
+                           f.find(upstream_id("u"))->key, 4, 3, {}};
+                       f.apply_reported_limits({&it, 1}, now);
+                   },
+                   false}),
+    [](const auto& it) { return it.param.name; });
+
+// News that came from a peer would return to it as if they were newer.
+TEST_F(fleet_test, reports_only_limits_that_it_learned_itself)
+{
+    const announced_limit reported{
+        upstreams_.find(upstream_id("u"))->key, 0, 3, {}};
+    upstreams_.apply_reported_limits({&reported, 1}, time_);
+    EXPECT_TRUE(upstreams_.announced_limits(10, time_).empty());
+    time_ += seconds(1);
+    announce_limit(upstreams_, time_);
+    ASSERT_EQ(upstreams_.announced_limits(10, time_).size(), 1U);
+    EXPECT_EQ(upstreams_.announced_limits(10, time_)[0].per_second, 3.0);
+}
+
 TEST_F(fleet_test, pauses_an_upstream_that_cannot_be_reached)
 {
     const upstream_ptr u = upstreams_.find(upstream_id("u"));
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -32,6 +32,8 @@
     r.configuration = followed_state{12, milliseconds(70)};
     r.leaving = {{7, 1'700'000'000'000}};
     r.demand = {{5, {1.5, 0.25}}};
+    r.limits = {{7, 1'700'000'000'000, 3.1, milliseconds(30)},
+                {8, 1'700'000'000'001, std::nullopt, milliseconds(40)}};
     const load_report back = decode_load_report(encode_load_report(r));
     EXPECT_EQ(back.sender, "a");
     ASSERT_TRUE(back.configuration);
@@ -49,6 +51,7 @@
     EXPECT_EQ(back.demand[0].first, 5U);
     EXPECT_DOUBLE_EQ(back.demand[0].second.prefill, 1.5);
     EXPECT_DOUBLE_EQ(back.demand[0].second.decode, 0.25);
+    EXPECT_EQ(back.limits, r.limits);
 }
 
 RC_GTEST_PROP(load_report_bytes, are_refused_when_changed,
