Gateway: divide the connection limit of an upstream by the number of gateways

Each gateway opened up to a quarter of a service's max_connections to each upstream, whatever their number: with 24 of them up to six times as many. Upstreams reset what is beyond, and a call lost in that way may have executed. Change: the share is one over the gateways heard of, a quarter at most and 4 connections at least. Placement skips an upstream whose connections are all in use; before, the attempt failed and the upstream counted as unreachable. Measured: gateway_fleet_test, new case: with 5, 24 and 68 gateways 460, 2760 and 12376 connections against limits of 370, 460 and 730 before; kept now.

--- a/gateway/connections.hpp
+++ b/gateway/connections.hpp
@@ -80,6 +80,16 @@
     void close_expired(mono_time now);
     void close_idle();
     void set_limits(connection_limits limits);
+    /// True if all connections that may be open are in use.
+    bool is_full() const
+    {
+        return idle_.empty() &&
+               *open_count_ >= int(limits_.max_open_connections);
+    }
+    const connection_limits& limits() const
+    {
+        return limits_;
+    }
 
     const ip_address& address() const
     {
--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -25,6 +25,9 @@
 constexpr duration max_absence = std::chrono::minutes(10);
 /// Status with which a process answers requests that are meant for another one.
 constexpr unsigned status_misdirected = 421;
+/// Connections that a gateway may open to an upstream in any case.
+constexpr unsigned min_connections = 4;
+constexpr unsigned max_idle_connections = 16;
 constexpr duration limited_calls_interval = std::chrono::seconds(1);
 
 /// True if the entry now describes another process, address or service.
@@ -40,10 +43,15 @@
 {
     placed.usable =
         record.state == upstream_state::ready && health.is_usable(now);
-    placed.is_rate_limited = !limit->admits(now);
+    placed.is_saturated = is_saturated(now);
     placed.penalty_seconds = health.penalty_seconds();
 }
 
+bool upstream::is_saturated(mono_time now) const
+{
+    return !limit->admits(now) || connections.is_full();
+}
+
 fleet::fleet(asio::io_context& context, const fleet_settings& settings)
     : context_(context), settings_(settings)
 {
@@ -308,10 +316,15 @@
 void fleet::set_gateways(std::string self, std::vector<std::string> peers,
                          mono_time now)
 {
+    const bool is_resized = peers.size() != peers_.size();
     self_ = std::move(self);
     peers_ = std::move(peers);
     for (const auto& [id, u] : upstreams_)
+    {
         update_share(*u, now);
+        if (is_resized)
+            set_limits(*u);
+    }
 }
 
 void fleet::log_limited_calls(mono_time now)
@@ -396,9 +409,10 @@
     if (it == configured_.end())
         return;
     const double share =
-        settings_.connection_share * it->second.max_connections;
-    const unsigned limit = std::max(4U, unsigned(share));
-    u.connections.set_limits({limit, std::min(limit, 16U)});
+        std::min(settings_.max_connection_share, 1 / double(peers_.size() + 1));
+    const unsigned limit =
+        std::max(min_connections, unsigned(share * it->second.max_connections));
+    u.connections.set_limits({limit, std::min(limit, max_idle_connections)});
     u.placed.kv_capacity = it->second.kv_capacity;
     u.placed.cache.set_capacity(token_count(std::int64_t(
         max_cached_fraction * double(it->second.kv_capacity.value))));
@@ -502,7 +516,7 @@
     engines.reserve(service.members.size());
     for (const upstream_ptr& it : service.members)
     {
-        it->placed.is_rate_limited = !it->limit->admits(now);
+        it->placed.is_saturated = it->is_saturated(now);
         engines.push_back(&it->placed);
     }
     return engines;
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -60,6 +60,9 @@
     /// Copies health, limit and entry state into `placed`, for placement
     /// decisions.
     void update_placed(mono_time now);
+    /// True if no request may be sent now, because of a limit on their rate or
+    /// on connections.
+    bool is_saturated(mono_time now) const;
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
@@ -94,9 +97,9 @@
 
 struct fleet_settings
 {
-    /// Fraction of a service's `max_connections` that this gateway may open to
-    /// each of its upstreams.
-    double connection_share = 0.25;
+    /// Largest fraction of a service's `max_connections` that this gateway may
+    /// open to each of its upstreams, however few gateways it knows.
+    double max_connection_share = 0.25;
     policy::retry_budget_settings retries;
     policy::placement_settings placement;
     /// Entries lapse, that is, expire in the store although the upstream is
@@ -169,7 +172,8 @@
     /// Applies what a peer gateway learned from answers.
     void apply_reported_limits(std::span<const announced_limit> reported,
                                mono_time now);
-    /// Sets the gateways that divide the limits of upstreams among them.
+    /// Sets the gateways that divide the limits on requests and connections of
+    /// upstreams among them.
     void set_gateways(std::string self, std::vector<std::string> peers,
                       mono_time now);
 
--- a/policy/call_placement.cpp
+++ b/policy/call_placement.cpp
@@ -19,7 +19,7 @@
     for (std::size_t i = 0; i < instances.size(); ++i)
     {
         const placed_engine& e = *instances[i];
-        if (!e.usable || e.is_rate_limited ||
+        if (!e.usable || e.is_saturated ||
             std::ranges::find(excluded, i) != std::ranges::end(excluded))
             continue;
         const unsigned in_flight = e.own_load.in_flight + e.peer_load.in_flight;
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -74,7 +74,7 @@
     for (std::size_t i = 0; i < engines.size(); ++i)
     {
         const placed_engine& e = *engines[i];
-        if (!e.usable || e.is_rate_limited || e.stage != stage ||
+        if (!e.usable || e.is_saturated || e.stage != stage ||
             contains(excluded, i))
             continue;
         const auto [choice, cost] = estimate(i);
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -59,9 +59,9 @@
     failure_domain_id failure_domain;
     placed_stage stage = placed_stage::decode;
     bool usable = true;
-    /// No request may be sent now, because of a limit on their rate; KV cache
-    /// may still be fetched from the engine.
-    bool is_rate_limited = false;
+    /// No request may be sent now, because of a limit on their rate or on
+    /// connections; KV cache may still be fetched from the engine.
+    bool is_saturated = false;
     /// Added to each cost estimate, because of recent failures.
     double penalty_seconds = 0;
     token_count kv_capacity;
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -313,6 +313,46 @@
     EXPECT_EQ(upstreams_.announced_limits(10, time_)[0].per_second, 3.0);
 }
 
+struct connections_case
+{
+    const char* name;
+    std::size_t gateways;
+    std::uint32_t max_connections;
+};
+
+class connection_limit : public fleet_test,
+                         public testing::WithParamInterface<connections_case>
+{
+};
+
+// Upstreams reset the connections beyond their limit, whichever gateway opened
+// them.
+TEST_P(connection_limit, holds_for_all_gateways_together)
+{
+    configuration config;
+    config.services.push_back(
+        {service_id("writers"), GetParam().max_connections, {}});
+    upstreams_.configure(config);
+    std::vector<std::string> peers(GetParam().gateways - 1);
+    upstreams_.set_gateways("self", peers, time_);
+    upstreams_.apply(record_of("v"));
+    for (const char* id : {"u", "v"})
+    {
+        const unsigned limit = upstreams_.find(upstream_id(id))
+                                   ->connections.limits()
+                                   .max_open_connections;
+        EXPECT_LE(limit * GetParam().gateways, GetParam().max_connections);
+        EXPECT_GE(limit, 4U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, connection_limit,
+                         testing::Values(connections_case{"one", 1, 96},
+                                         connections_case{"five", 5, 370},
+                                         connections_case{"tens", 24, 460},
+                                         connections_case{"many", 68, 730}),
+                         [](const auto& it) { return it.param.name; });
+
 TEST_F(fleet_test, pauses_an_upstream_that_cannot_be_reached)
 {
     const upstream_ptr u = upstreams_.find(upstream_id("u"));
