Upstream call: a connection is reused only after its own answer

Cause: a call that skipped a late answer to another request kept the mark of its complete end. Change: the mark is cleared before each head is read.

--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -188,6 +188,7 @@
 asio::awaitable<call_status> upstream_call::read_head()
 {
     parser_.emplace();
+    is_complete_ = false;
     parser_->header_limit(max_head_size);
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     if (outgoing_->message.method() == http::verb::head)
