--- a/policy/request_limit.hpp
+++ b/policy/request_limit.hpp
@@ -28,8 +28,9 @@
     /// least one request.
     duration burst{std::chrono::milliseconds(100)};
     /// Without news of the limit for this time, the shares pass to other
-    /// gateways, since those that hold them may have no requests to send.
-    duration share_period{std::chrono::seconds(10)};
+    /// gateways, since those that hold them may have no requests to send. It
+    /// must be longer than news takes from gateway to gateway.
+    duration share_period{std::chrono::seconds(2)};
 };
 
 /// Returns the share of a limit that `self` may use, in requests per second;
