--- a/tests/platform/gateway_limit_test.cpp
+++ b/tests/platform/gateway_limit_test.cpp
@@ -139,6 +139,7 @@
         const mono_time end = now() + span;
         std::atomic<unsigned> failed = 0;
         std::vector<std::thread> callers;
+        callers.reserve(gateways_.size() * callers_per_gateway);
         for (std::size_t i = 0; i < gateways_.size() * callers_per_gateway; ++i)
             callers.emplace_back(
                 [&, i]
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -215,14 +215,9 @@
                     request_limit_case{"lowest_counts", {"5", "3", "4"}, 3.0},
                     request_limit_case{"empty", {""}, std::nullopt, true},
                     request_limit_case{"negative", {"-1"}, std::nullopt, true},
-                    request_limit_case{"not_a_number",
-                                       {"nan"},
-                                       std::nullopt,
-                                       true},
-                    request_limit_case{"infinite",
-                                       {"inf"},
-                                       std::nullopt,
-                                       true},
+                    request_limit_case{
+                        "not_a_number", {"nan"}, std::nullopt, true},
+                    request_limit_case{"infinite", {"inf"}, std::nullopt, true},
                     request_limit_case{"unit", {"3/s"}, std::nullopt, true},
                     request_limit_case{"one_bad", {"3", "x"}, 3.0, true}),
     [](const auto& it) { return it.param.name; });
--- a/tests/policy_request_limit_test.cpp
+++ b/tests/policy_request_limit_test.cpp
@@ -24,6 +24,7 @@
 std::vector<std::string> names(std::size_t n)
 {
     std::vector<std::string> all;
+    all.reserve(n);
     for (std::size_t i = 0; i < n; ++i)
         all.push_back("gateway-" + std::to_string(i));
     return all;
