Load exchange: a report with a request limit that is not finite is refused

Cause: such a limit was left out without a log line, unlike other malformed reports. Change: decoding throws parse_error, so that event 919 names the sender; new case in gateway_load_exchange_test. Measured: gateway_load_exchange_test passes.

--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -121,15 +121,15 @@
     return out;
 }
 
-/// Empty if the rate is malformed.
-std::optional<announced_limit> from_wire(const fb::request_limit& in)
+/// Throws parse_error.
+announced_limit from_wire(const fb::request_limit& in)
 {
     const double rate = in.per_second();
     if (!std::isfinite(rate))
-        return std::nullopt;
-    return announced_limit{in.upstream(), in.started_ms(),
-                           rate < 0 ? std::nullopt : std::optional(rate),
-                           std::chrono::milliseconds(in.age_ms())};
+        throw parse_error("load report with a request limit out of range");
+    return {in.upstream(), in.started_ms(),
+            rate < 0 ? std::nullopt : std::optional(rate),
+            std::chrono::milliseconds(in.age_ms())};
 }
 
 std::vector<fb::service_demand> to_wire(const demand_by_service& demand)
@@ -226,8 +226,7 @@
                  {it->reading_ms() / 1000.0, it->running_ms() / 1000.0}});
     if (in->limits())
         for (const fb::request_limit* it : *in->limits())
-            if (const auto limit = from_wire(*it))
-                report.limits.push_back(*limit);
+            report.limits.push_back(from_wire(*it));
     return report;
 }
 
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -3,6 +3,7 @@
 #include "gateway/load_exchange.hpp"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck/gtest.h>
 
 namespace poplar::gateway
@@ -67,6 +68,18 @@
     }
 }
 
+// A rate that is not a number would make the shares of it meaningless.
+TEST(load_report, is_refused_with_a_limit_that_is_not_finite)
+{
+    load_report r = report_of(1, 2, 3);
+    for (const double rate : {std::numeric_limits<double>::infinity(),
+                              std::numeric_limits<double>::quiet_NaN()})
+    {
+        r.limits = {{7, 5, rate, milliseconds(1)}};
+        EXPECT_THROW(decode_load_report(encode_load_report(r)), parse_error);
+    }
+}
+
 TEST(peer_loads, take_the_latest_report_of_a_process)
 {
     peer_loads loads;
