Streams: keep the call to a silent engine until another one takes over

What callers saw: an answer that had begun was cut, although its engine was sound and went on a moment later. Cause: after three quarters of the caller's patience the call was closed, and a retry and another engine were looked for only then. All streams of the engine stalled at once and were checked against the same few retries. Change: the read is interrupted, not the call. The retry is taken from the budget first, and only when another engine could be placed. The call is closed with the first event of the other engine; when the silent one speaks again, or the other one refuses, fails or is not to be had, the stream goes on there. Calls that later ones overtook take their retry before they are given up, too. Ruled out: an error on a changed configuration (no such line), an exception.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -67,6 +67,7 @@
 void exchange::on_caller_disconnected()
 {
     caller_disconnected_ = true;
+    suspended_.reset();
     if (call_)
         call_->cancel();
 }
@@ -190,7 +191,7 @@
 
 /// Requires more than the last retry of the budget, which is reserved for
 /// upstreams that fail immediately.
-bool exchange::may_give_up(bool prefill_only) const
+bool exchange::may_give_up(const upstream& u, bool prefill_only) const
 {
     attempt_history after = history_;
     ++after.attempts;
@@ -200,15 +201,47 @@
         fleet_->retries.available() >= min_retries_for_stalled;
     if (prefill_only)
         return has_budget && after.attempts < max_total_attempts &&
-               may_prefill_again(after);
+               may_prefill_again(after) && has_alternative(u);
     return decide_next_step(attempt_result::stalled, after,
-                            [&] { return has_budget; }) == next_step::retry;
+                            [&] { return has_budget; }) == next_step::retry &&
+           has_alternative(u);
+}
+
+bool exchange::has_alternative(const upstream& u) const
+{
+    std::vector<std::size_t> excluded = excluded_indices();
+    for (std::size_t i = 0; i < fleet_->members.size(); ++i)
+        if (fleet_->members[i]->record.id == u.record.id)
+            excluded.push_back(i);
+    const auto instances = engines_of(*fleet_, now());
+    if (info_.engine_prompt && has_engines(*fleet_))
+        return fleet_->placement.plan(instances, placed_request(), excluded)
+            .has_value();
+    return policy::choose_instance({}, instances,
+                                   state_.settings.failure_domain, excluded, 0)
+        .has_value();
+}
+
+bool exchange::reserve_retry()
+{
+    if (!fleet_->retries.try_retry())
+        return false;
+    ++reserved_retries_;
+    return true;
+}
+
+bool exchange::take_retry()
+{
+    if (reserved_retries_ == 0)
+        return fleet_->retries.try_retry();
+    --reserved_retries_;
+    return true;
 }
 
 void exchange::give_up_stalled(const upstream& u, upstream_call& call,
-                               bool prefill_only) const
+                               bool prefill_only)
 {
-    if (call.is_given_up() || !may_give_up(prefill_only))
+    if (call.is_given_up() || !may_give_up(u, prefill_only) || !reserve_retry())
         return;
     observe::log(event::gateway_try_stalled,
                  {{"request", info_.id.value},
@@ -226,6 +259,7 @@
     case call_status::not_connected:
         return attempt_result::not_sent;
     case call_status::stalled:
+    case call_status::interrupted:
         return attempt_result::stalled;
     case call_status::timed_out:
         return attempt_result::timed_out;
@@ -290,8 +324,8 @@
     record_health(result, *u);
     state_.metrics.record_attempt(service_.value, to_string(result));
     history_.has_time = deadline_ - now() > min_attempt_time;
-    const next_step step = decide_next_step(
-        result, history_, [&] { return fleet_->retries.try_retry(); });
+    const next_step step =
+        decide_next_step(result, history_, [&] { return take_retry(); });
     if (result != attempt_result::answered)
     {
         failed_upstreams_.push_back(u->record.id);
@@ -383,6 +417,8 @@
 
 asio::awaitable<void> exchange::fail(attempt_result result)
 {
+    if (suspended_)
+        co_return; // `serve_stream` goes on with that attempt.
     const unsigned status = result == attempt_result::timed_out ? 504 : 502;
     is_answer_cut_ = answer_started_;
     if (answer_started_)
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -9,6 +9,7 @@
 #include "gateway/state.hpp"
 #include "policy/engine_admission.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -72,6 +73,15 @@
         std::string body;
         std::string failure; ///< Error message, unless the status is ok.
     };
+    /// Attempt to decode a stream whose engine has fallen silent. Its call
+    /// stays open until another engine has sent an event.
+    struct suspended_attempt
+    {
+        upstream_ptr engine;
+        std::unique_ptr<upstream_call> call;
+        event_stream events;
+        bool is_speaking = false; ///< The engine goes on.
+    };
     /// Result of an attempt to decode a stream.
     struct stream_outcome
     {
@@ -86,7 +96,11 @@
     asio::awaitable<void> serve_stream();
     asio::awaitable<stream_step> place_and_prefill(stream_placement& placement);
     asio::awaitable<stream_step> prefill_split(stream_placement& placement);
+    asio::awaitable<stream_step> serve_placed(stream_placement& placement);
     asio::awaitable<stream_step> attempt_decode(stream_placement& placement);
+    /// Goes on with the suspended attempt, since no other engine has taken over
+    /// the stream.
+    asio::awaitable<stream_step> continue_suspended();
     /// Chooses another decode engine if the KV cache was not fetched; returns
     /// false if there is none.
     bool move_decode(stream_placement& placement, attempt_result result) const;
@@ -97,13 +111,21 @@
     asio::awaitable<stream_outcome> attempt_stream(upstream_ptr u,
                                                    send_options options,
                                                    load_guard& prefill_guard);
-    asio::awaitable<call_status> forward_events(upstream_call& call,
-                                                load_guard& prefill_guard,
-                                                tracked_attempt& tracked);
-    /// Time at which the upstream is given up unless it completes an event.
-    mono_time next_event_deadline() const;
+    /// Calls `on_event` after each event.
+    asio::awaitable<call_status>
+    forward_events(const upstream& u, upstream_call& call,
+                   const std::function<void()>& on_event);
+    /// Interrupts the call if its engine is silent and another attempt may
+    /// follow; returns the time until the next check.
+    duration check_silence(const upstream& u, upstream_call& call);
     asio::awaitable<void> forward_piece(upstream_call& call,
                                         std::string events);
+    void suspend(const upstream_ptr& u, std::unique_ptr<upstream_call> call);
+    void on_suspended_readable(const suspended_attempt& attempt);
+    bool is_suspended_speaking() const
+    {
+        return suspended_ && suspended_->is_speaking;
+    }
 
     /// Runs the prefill at `u`; returns an empty handle on failure.
     asio::awaitable<kv_handle>
@@ -136,9 +158,15 @@
     /// Ends a call that later ones have overtaken, if another attempt may
     /// follow.
     void give_up_stalled(const upstream& u, upstream_call& call,
-                         bool prefill_only) const;
+                         bool prefill_only);
     /// Whether another attempt may follow if the current one is given up.
-    bool may_give_up(bool prefill_only) const;
+    bool may_give_up(const upstream& u, bool prefill_only) const;
+    bool has_alternative(const upstream& u) const;
+    /// Takes a retry from the budget before an attempt is given up; the next
+    /// `take_retry` uses it. Calls that stall together would otherwise all be
+    /// given up for the same retry.
+    bool reserve_retry();
+    bool take_retry();
     /// How long callers of the route wait for an event before they disconnect.
     duration patience() const;
     static attempt_result result_of(call_status status);
@@ -175,7 +203,9 @@
 
     attempt_history history_;
     std::vector<upstream_id> failed_upstreams_;
+    unsigned reserved_retries_ = 0;
     upstream_call* call_ = nullptr; ///< Call in progress, if any.
+    std::shared_ptr<suspended_attempt> suspended_;
     event_stream events_;
     unsigned block_waits_ = 0;
     bool answer_started_ = false;
@@ -186,7 +216,8 @@
         prefill_latency_{}; ///< From receipt to the end of prefill; 0: none.
     duration first_event_latency_{};
     mono_time last_event_at_{};
-    duration longest_pause_{}; ///< Between two events.
+    mono_time last_progress_at_{}; ///< Last event of the call in progress.
+    duration longest_pause_{};     ///< Between two events.
 };
 
 } // namespace poplar::gateway
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -1,4 +1,5 @@
 #include "gateway/exchange.hpp"
+#include "gateway/interval_timer.hpp"
 #include "gateway/load_guard.hpp"
 #include "observe/log.hpp"
 #include "platform/wire.hpp"
@@ -26,9 +27,11 @@
 constexpr duration min_patience = std::chrono::seconds(2);
 constexpr int patience_per_target = 4;
 constexpr int patience_per_pause_target = 8;
-/// A stream without an event for this share of the caller's patience is resumed
+/// A stream without an event for this share of the caller's patience is tried
 /// at another engine; the rest is reserved for that engine's first event.
 constexpr double stalled_patience_fraction = 0.75;
+/// Interval of checks whether a silent stream may be tried elsewhere.
+constexpr duration silence_check_interval = milliseconds(100);
 
 /// Whether the decode engine rejected the attempt before it fetched the KV
 /// cache.
@@ -131,24 +134,32 @@
     while (!caller_disconnected_)
     {
         stream_placement placement;
-        const stream_step prepared = co_await place_and_prefill(placement);
-        if (prepared == stream_step::replan)
-            continue;
-        if (prepared == stream_step::finished)
-            co_return;
-        stream_step served = co_await attempt_decode(placement);
-        while (served == stream_step::retry_decode)
-            served = co_await attempt_decode(placement);
-        if (served == stream_step::finished)
+        stream_step step = co_await place_and_prefill(placement);
+        if (step == stream_step::proceed)
+            step = co_await serve_placed(placement);
+        while (step == stream_step::finished && suspended_)
+            step = co_await continue_suspended();
+        if (step == stream_step::finished)
             co_return;
     }
     log_ended("caller_left", 0);
 }
 
+asio::awaitable<exchange::stream_step>
+exchange::serve_placed(stream_placement& placement)
+{
+    stream_step step = co_await attempt_decode(placement);
+    while (step == stream_step::retry_decode)
+        step = co_await attempt_decode(placement);
+    co_return step;
+}
+
 /// Places the request and, for a split request, runs its prefill.
 asio::awaitable<exchange::stream_step>
 exchange::place_and_prefill(stream_placement& placement)
 {
+    if (is_suspended_speaking())
+        co_return stream_step::finished;
     const auto plan = plan_engines();
     if (!plan)
     {
@@ -190,6 +201,11 @@
         release(placement.kv);
         co_return stream_step::replan;
     }
+    if (is_suspended_speaking())
+    {
+        release(placement.kv);
+        co_return stream_step::finished;
+    }
     if (now() >= deadline_)
     {
         release(placement.kv);
@@ -199,7 +215,7 @@
     if (placement.kv.empty())
     {
         if (history_.attempts < max_total_attempts &&
-            may_prefill_again(history_) && fleet_->retries.try_retry())
+            may_prefill_again(history_) && take_retry())
             co_return stream_step::replan;
         co_await refuse("prompt_not_read");
         co_return stream_step::finished;
@@ -255,6 +271,15 @@
         record_blocks(*placement.decode_engine, blocks_, duration{});
     if (caller_disconnected_)
         co_return stream_step::replan;
+    if (is_suspended_speaking())
+    {
+        ++history_.attempts;
+        if (is_rejected(end.result))
+            release(placement.kv);
+        else
+            ++history_.executions;
+        co_return stream_step::finished;
+    }
     next_step step =
         finish_attempt(end.result, placement.decode_engine, end.answer.failure);
     if (step == next_step::retry && move_decode(placement, end.result))
@@ -263,8 +288,7 @@
         release(placement.kv);
     // Repeating the prefill is a call of its own and consumes retry budget, in
     // addition to any that the retry of the decode call consumed.
-    if (step == next_step::retry && placement.prefill_engine &&
-        !fleet_->retries.try_retry())
+    if (step == next_step::retry && placement.prefill_engine && !take_retry())
         step = next_step::refuse;
     if (step == next_step::retry)
     {
@@ -296,53 +320,59 @@
 exchange::attempt_stream(upstream_ptr u, send_options options,
                          load_guard& prefill_guard)
 {
-    upstream_call call(u->connections, make_call(u, options));
-    scoped_current_call current(call_, call);
+    auto call =
+        std::make_unique<upstream_call>(u->connections, make_call(u, options));
+    scoped_current_call current(call_, *call);
     last_upstream_ = u->record.id.value;
     tracked_attempt tracked(options.kv.empty() ? u->open_unsplit_requests
                                                : u->open_decodes,
                             policy::load_rank(route_->priority),
-                            [&] { give_up_stalled(*u, call, false); });
+                            [&] { give_up_stalled(*u, *call, false); });
+    const auto on_event = [&]
+    {
+        prefill_guard.end();
+        tracked.answered();
+    };
     stream_outcome end;
-    end.answer.status = co_await call.start();
+    end.answer.status = co_await call->start();
     if (end.answer.status != call_status::ok)
     {
         end.result = result_of(end.answer.status);
-        end.answer.failure = call.failure();
+        end.answer.failure = call->failure();
         co_return end;
     }
-    end.answer.info = call.info();
-    if (call.info().status == 200 && !call.info().not_executed &&
-        call.info().is_signed)
+    end.answer.info = call->info();
+    if (call->info().status == 200 && !call->info().not_executed &&
+        call->info().is_signed)
     {
-        end.answer.status =
-            co_await forward_events(call, prefill_guard, tracked);
+        end.answer.status = co_await forward_events(*u, *call, on_event);
         end.is_complete = end.answer.status == call_status::ok;
         end.result = result_of(end.answer.status);
-        end.answer.failure = call.failure();
+        end.answer.failure = call->failure();
+        if (end.answer.status == call_status::interrupted)
+            suspend(u, std::move(call));
         co_return end;
     }
     end.answer.status =
-        co_await call.read_all(end.answer.body, max_buffered_answer);
-    end.answer.head = platform::forwardable(call.head());
+        co_await call->read_all(end.answer.body, max_buffered_answer);
+    end.answer.head = platform::forwardable(call->head());
     end.result = classify_for_caller(end.answer);
     co_return end;
 }
 
-asio::awaitable<call_status> exchange::forward_events(upstream_call& call,
-                                                      load_guard& prefill_guard,
-                                                      tracked_attempt& tracked)
+asio::awaitable<call_status>
+exchange::forward_events(const upstream& u, upstream_call& call,
+                         const std::function<void()>& on_event)
 {
-    std::string bytes;
-    bool is_end = false;
     // Before its first event an engine may be in prefill, which has no time
     // limit of its own.
-    mono_time deadline = mono_time::max();
+    interval_timer silence(state_.loop, [&] { return check_silence(u, call); });
+    std::string bytes;
+    bool is_end = false;
     while (!is_end)
     {
         bytes.clear();
-        const call_status status =
-            co_await call.read_some(bytes, is_end, deadline);
+        const call_status status = co_await call.read_some(bytes, is_end);
         if (status != call_status::ok)
             co_return status;
         std::string events = events_.append(bytes);
@@ -350,27 +380,92 @@
             co_return call_status::broken;
         if (events.empty())
             continue;
-        prefill_guard.end();
-        tracked.answered();
+        on_event();
+        suspended_.reset();
+        last_progress_at_ = now();
         co_await forward_piece(call, std::move(events));
-        deadline = next_event_deadline();
+        silence.start(silence_check_interval);
     }
     if (events_.has_partial_event())
         co_return call_status::broken;
+    suspended_.reset();
     if (!answer_started_)
         co_await forward_piece(call, "");
     co_await out_.end();
     co_return call_status::ok;
 }
 
-/// Bytes of an incomplete event do not extend the deadline, since a failing
+/// Bytes of an incomplete event do not count as progress, since a failing
 /// engine may send a byte now and then.
-mono_time exchange::next_event_deadline() const
+duration exchange::check_silence(const upstream& u, upstream_call& call)
+{
+    const duration limit = policy::from_seconds(policy::seconds(patience()) *
+                                                stalled_patience_fraction);
+    const duration silent = now() - last_progress_at_;
+    if (silent < limit)
+        return limit - silent;
+    if (may_give_up(u, false) && (reserved_retries_ > 0 || reserve_retry()))
+        call.interrupt();
+    return silence_check_interval;
+}
+
+void exchange::suspend(const upstream_ptr& u,
+                       std::unique_ptr<upstream_call> call)
+{
+    suspended_ = std::make_shared<suspended_attempt>();
+    suspended_->engine = u;
+    suspended_->call = std::move(call);
+    suspended_->events = events_;
+    suspended_->call->notify_when_readable(
+        [this, attempt = std::weak_ptr(suspended_)]
+        {
+            if (const auto it = attempt.lock())
+                on_suspended_readable(*it);
+        });
+}
+
+/// Ends the attempt at the other engine.
+void exchange::on_suspended_readable(const suspended_attempt& attempt)
+{
+    if (suspended_.get() != &attempt)
+        return;
+    suspended_->is_speaking = true;
+    if (call_)
+        call_->give_up_stalled();
+}
+
+asio::awaitable<exchange::stream_step> exchange::continue_suspended()
 {
-    if (!may_give_up(false))
-        return mono_time::max();
-    return now() + policy::from_seconds(policy::seconds(patience()) *
-                                        stalled_patience_fraction);
+    const std::shared_ptr<suspended_attempt> attempt = std::move(suspended_);
+    const upstream_ptr& u = attempt->engine;
+    upstream_call& call = *attempt->call;
+    observe::log(event::gateway_stream_continued,
+                 {{"request", info_.id.value},
+                  {"upstream", u->record.id.value},
+                  {"after_event", attempt->events.last_id().value_or(0)}});
+    events_ = attempt->events;
+    last_upstream_ = u->record.id.value;
+    load_guard decode_guard(u, {.in_flight = 1});
+    scoped_current_call current(call_, call);
+    // Counted when the attempt was suspended.
+    --history_.attempts;
+    --history_.executions;
+    const call_status status = co_await forward_events(*u, call, [] {});
+    if (caller_disconnected_)
+        co_return stream_step::replan;
+    if (status == call_status::interrupted)
+        suspend(u, std::move(attempt->call));
+    stream_outcome end;
+    end.result = result_of(status);
+    end.is_complete = status == call_status::ok;
+    const next_step step = finish_attempt(end.result, u, "");
+    if (step == next_step::retry)
+    {
+        events_.restart();
+        co_return stream_step::replan;
+    }
+    co_await finish_stream(std::move(end), step);
+    co_return stream_step::finished;
 }
 
 asio::awaitable<void> exchange::forward_piece(upstream_call& call,
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <limits>
+#include <utility>
 
 namespace poplar::gateway
 {
@@ -41,6 +42,8 @@
         return "timed_out";
     case call_status::canceled:
         return "canceled";
+    case call_status::interrupted:
+        return "interrupted";
     }
     return "unknown";
 }
@@ -69,7 +72,7 @@
 
 upstream_call::upstream_call(connection_pool& pool, call_request request)
     : pool_(pool), request_(std::move(request)),
-      deadline_(now() + request_.timeout), step_deadline_(deadline_)
+      deadline_(now() + request_.timeout)
 {
 }
 
@@ -104,6 +107,26 @@
         connection_->stream.close();
 }
 
+bool upstream_call::interrupt()
+{
+    if (!connection_ || !outgoing_ || !outgoing_->is_written)
+        return false;
+    is_interrupted_ = true;
+    connection_->stream.cancel();
+    return true;
+}
+
+void upstream_call::notify_when_readable(std::function<void()> on_readable)
+{
+    connection_->stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [f = std::move(on_readable)](const error_code& ec)
+        {
+            if (!ec)
+                f();
+        });
+}
+
 call_status upstream_call::status_of(const error_code& ec)
 {
     failure_ = ec;
@@ -111,10 +134,10 @@
         return call_status::canceled;
     if (!ec)
         return call_status::ok;
-    const bool is_timeout = ec == beast::error::timeout;
-    if (is_stalled_ || (is_timeout && step_deadline_ < deadline_))
+    if (is_stalled_)
         return call_status::stalled;
-    return is_timeout ? call_status::timed_out : call_status::broken;
+    return ec == beast::error::timeout ? call_status::timed_out
+                                       : call_status::broken;
 }
 
 asio::awaitable<call_status> upstream_call::start()
@@ -237,14 +260,13 @@
     return n ? std::optional<std::uint64_t>(*n) : std::nullopt;
 }
 
-asio::awaitable<call_status>
-upstream_call::read_some(std::string& body, bool& is_end, mono_time deadline)
+asio::awaitable<call_status> upstream_call::read_some(std::string& body,
+                                                      bool& is_end)
 {
     is_end = parser_->is_done();
     if (is_end)
         co_return call_status::ok;
-    step_deadline_ = std::min(deadline_, deadline);
-    connection_->stream.expires_at(step_deadline_);
+    connection_->stream.expires_at(deadline_);
     const std::size_t before = body.size();
     body.resize(before + read_size);
     auto& buffer = parser_->get().body();
@@ -258,6 +280,9 @@
     body.resize(body.size() - parser_->get().body().size);
     if (ec == http::error::need_buffer)
         ec = {};
+    if (std::exchange(is_interrupted_, false) &&
+        ec == asio::error::operation_aborted && !is_given_up())
+        co_return call_status::interrupted;
     is_end = !ec && parser_->is_done();
     is_complete_ = is_end;
     co_return status_of(ec);
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -27,7 +27,8 @@
     broken,        ///< Sent; the answer is missing, incomplete or invalid.
     stalled,       ///< Sent; given up for lack of progress.
     timed_out,     ///< Sent; the answer was not complete in time.
-    canceled       ///< Ended by `cancel`.
+    canceled,      ///< Ended by `cancel`.
+    interrupted    ///< The read was ended by `interrupt`; it may be repeated.
 };
 
 std::string to_string(call_status status);
@@ -79,10 +80,8 @@
     std::optional<std::uint64_t> body_length() const;
 
     /// Appends the body bytes that have arrived; sets `is_end` at the end of
-    /// the body. If none arrive before `deadline`, returns `stalled`.
-    asio::awaitable<call_status>
-    read_some(std::string& body, bool& is_end,
-              mono_time deadline = mono_time::max());
+    /// the body.
+    asio::awaitable<call_status> read_some(std::string& body, bool& is_end);
     /// Reads the whole body; returns `broken` if it exceeds `max_size` bytes.
     asio::awaitable<call_status> read_all(std::string& body,
                                           std::size_t max_size);
@@ -91,6 +90,13 @@
     void cancel();
     /// Like `cancel`, for an upstream that makes no progress on the request.
     void give_up_stalled();
+    /// Ends the `read_some` in progress from outside its coroutine. The call
+    /// stays open, so that reading may go on later. Returns false, and does
+    /// nothing, while the request is still being sent.
+    bool interrupt();
+    /// Calls `on_readable` once bytes have arrived or the connection ended;
+    /// not while a read is in progress.
+    void notify_when_readable(std::function<void()> on_readable);
     bool is_given_up() const
     {
         return is_stalled_ || is_canceled_;
@@ -115,7 +121,6 @@
     connection_pool& pool_;
     call_request request_;
     mono_time deadline_;
-    mono_time step_deadline_; ///< Deadline of the current read.
     connection_ptr connection_;
     std::shared_ptr<outgoing> outgoing_;
     mono_time sent_at_{};
@@ -124,6 +129,7 @@
     error_code failure_;
     bool is_canceled_ = false;
     bool is_stalled_ = false;
+    bool is_interrupted_ = false;
     bool is_complete_ = false;
 };
 
