Caller sessions: the idle timeout of the current configuration ends the wait

What callers saw: a kept connection that a new configuration allowed to be idle for longer was closed after the old time, at the moment of its next request. Cause: the timer was set once, from the configuration in force when the connection became idle, and closed the socket without a look at what had arrived. Change: when the timer expires, the timeout of the configuration in force counts, and a connection on which bytes have arrived is not closed. Measured: the new test failed before, gateway_lifecycle_test passes.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_session.hpp"
 
+#include "gateway/interval_timer.hpp"
 #include "observe/log.hpp"
 #include "platform/wire.hpp"
 
@@ -24,6 +25,9 @@
 /// until this number is reached; the last read may exceed it.
 constexpr std::size_t max_read_ahead = 32 << 10;
 constexpr std::size_t read_size = 4 << 10; // bytes
+/// Interval of checks of a connection that was idle for too long and on which
+/// a request is arriving.
+constexpr duration idle_check_interval = std::chrono::milliseconds(100);
 /// Timeout of one write to a caller that does not read.
 constexpr duration write_timeout = std::chrono::seconds(10);
 
@@ -95,13 +99,13 @@
 {
     if (buffer_.size() == 0)
     {
-        const caller_limits l = limits();
-        stream_.expires_after(served_requests_ == 0 ? l.header_timeout
-                                                    : l.idle_timeout);
+        const mono_time idle_since = now();
+        interval_timer timer(state_.loop, [this, idle_since]
+                             { return end_when_idle(idle_since); });
+        timer.start(idle_timeout());
         error_code ec;
-        const std::size_t n = co_await stream_.async_read_some(
-            buffer_.prepare(read_size), redirect_to(ec));
-        buffer_.commit(n);
+        co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                             redirect_to(ec));
         if (ec)
             co_return false;
     }
@@ -109,6 +113,26 @@
     co_return true;
 }
 
+duration caller_session::idle_timeout() const
+{
+    const caller_limits l = limits();
+    return served_requests_ == 0 ? l.header_timeout : l.idle_timeout;
+}
+
+/// Ends the wait for a request if the timeout of the current configuration has
+/// passed and no request has arrived; returns the time until the next check.
+duration caller_session::end_when_idle(mono_time idle_since)
+{
+    const duration idle = now() - idle_since;
+    const duration timeout = idle_timeout();
+    if (idle < timeout)
+        return timeout - idle;
+    error_code ec; // Not possible once the socket is closed, which ends it too.
+    if (!has_pending_input(stream_.socket()))
+        ec = stream_.socket().cancel(ec);
+    return idle_check_interval;
+}
+
 asio::awaitable<bool> caller_session::read_request()
 {
     const caller_limits l = limits();
@@ -139,6 +163,8 @@
 
 void caller_session::log_unread_request(const error_code& ec) const
 {
+    if (!parser_->got_some())
+        return;
     observe::log(event::gateway_caller_refused, {{"status", 0},
                                                  {"served", served_requests_},
                                                  {"reason", ec.message()}});
--- a/gateway/caller_session.hpp
+++ b/gateway/caller_session.hpp
@@ -41,6 +41,8 @@
     using parser = http::request_parser<http::string_body>;
 
     asio::awaitable<bool> wait_for_request();
+    duration idle_timeout() const;
+    duration end_when_idle(mono_time idle_since);
     asio::awaitable<bool> read_request();
     asio::awaitable<bool> read_body();
     asio::awaitable<void> serve_request();
--- a/gateway/connections.cpp
+++ b/gateway/connections.cpp
@@ -21,15 +21,6 @@
 /// Assumed when the upstream sends no Keep-Alive timeout.
 constexpr duration default_idle_timeout = std::chrono::seconds(3);
 
-/// True when the socket has neither received bytes nor been closed by the peer.
-bool has_no_pending_input(asio::ip::tcp::socket& socket)
-{
-    char byte = 0;
-    const auto n =
-        recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 duration compute_usable_idle_time(const upstream_connection& c)
 {
     const duration limit = c.idle_timeout > duration::zero()
@@ -40,6 +31,14 @@
 
 } // namespace
 
+bool has_pending_input(asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const auto n =
+        recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void set_socket_options(asio::ip::tcp::socket& socket)
 {
     error_code ec; // Ignored: on failure, small writes are only delayed.
@@ -61,7 +60,7 @@
         idle_.pop_back();
         const duration idle = now - c->idle_since;
         if (idle <= std::min(max_idle_time, compute_usable_idle_time(*c)) &&
-            has_no_pending_input(c->stream.socket()))
+            !has_pending_input(c->stream.socket()))
             return c;
         if (idle > max_idle_time && idle <= compute_usable_idle_time(*c))
         {
--- a/gateway/connections.hpp
+++ b/gateway/connections.hpp
@@ -26,6 +26,9 @@
 /// connection when its peer has stopped responding.
 void set_socket_options(asio::ip::tcp::socket& socket);
 
+/// True when bytes have been received, or the connection has ended.
+bool has_pending_input(asio::ip::tcp::socket& socket);
+
 /// An open connection; it serves one request at a time.
 struct upstream_connection
 {
--- a/tests/platform/gateway_lifecycle_test.cpp
+++ b/tests/platform/gateway_lifecycle_test.cpp
@@ -47,6 +47,29 @@
     EXPECT_EQ(status, "404");
 }
 
+// A kept connection was closed after the idle timeout of the configuration in
+// force when it became idle, although a later one allowed a longer time.
+TEST_F(gateway_test, keeps_idle_connections_by_the_timeout_in_force)
+{
+    scripted_upstream u(
+        [](const std::string& head) -> scripted_answer
+        { return {whole_answer(200, field_of(head, "Attempt-Id"), "x")}; });
+    add_upstream("i-1", u.address(), "desk");
+    json configuration = configuration_json(1);
+    configuration["limits"]["idleTimeoutMs"] = 800;
+    put("config/main", configuration);
+    start_without_configuration();
+    wait_until_ready();
+    scripted_caller c(gateway_->address());
+    c.send(request("/once/x", "1"));
+    EXPECT_EQ(status_of(c.read_until("\r\n\r\nx")), "200");
+    std::this_thread::sleep_for(milliseconds(100));
+    put("config/main", configuration_json(2));
+    std::this_thread::sleep_for(milliseconds(1500));
+    c.send(request("/once/x", "2"));
+    EXPECT_EQ(status_of(c.read_until("\r\n\r\nx")), "200");
+}
+
 // A request that arrived long after SIGTERM was accepted and then aborted at
 // the end of the shutdown (hunt, mix --seed 965339727917).
 TEST_F(gateway_test, finishes_open_requests_and_refuses_late_ones)
