Gateway: prompts that crash engines are no longer sent to engines

Cause: no gateway connected the end of an engine with the prompts that ran on it; an attempt that broke off was retried, and the next prompt with the block was placed like any other. What ran at an engine when it ended was not kept. Change: policy/fatal_blocks counts the engine processes that ended under each prefix block since a request with it last completed. A broken connection counts only when the process has ended: a connection to it is refused, its entry goes, or a new process registers. Gateways tell each other of crashes and completions in their load reports.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -5,6 +5,7 @@
 #include "policy/call_placement.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace poplar::gateway
 {
@@ -50,6 +51,10 @@
     if (info_.engine_prompt)
         for (const prefix_block& it : info_.engine_prompt->blocks)
             blocks_.push_back({it.digest.value, it.tokens});
+    std::ranges::transform(
+        blocks_ |
+            std::views::take(std::max<std::size_t>(blocks_.size(), 1) - 1),
+        std::back_inserter(shared_digests_), &policy::prefix_block::digest);
     ++state_.open_requests;
     state_.body_bytes += request_.body->size();
     state_.metrics.set_open_requests(state_.open_requests);
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -92,6 +92,10 @@
     };
 
     bool find_route();
+    /// Refuses a prompt that would crash its engine; returns false if the
+    /// prompt may be sent.
+    asio::awaitable<bool> refuse_fatal_prompt();
+    void note_broken_off(const upstream_ptr& u, attempt_result result);
     asio::awaitable<void> serve_call();
     asio::awaitable<void> serve_stream();
     asio::awaitable<stream_step> place_and_prefill(stream_placement& placement);
@@ -199,6 +203,8 @@
     service_id service_;
     service_fleet* fleet_ = nullptr;
     std::vector<policy::prefix_block> blocks_;
+    /// Digests of all blocks but the last, which is specific to this request.
+    std::vector<std::uint64_t> shared_digests_;
     mono_time deadline_{};
 
     attempt_history history_;
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -154,11 +154,27 @@
     co_return step;
 }
 
+asio::awaitable<bool> exchange::refuse_fatal_prompt()
+{
+    const auto pause =
+        state_.upstreams.fatal_blocks().refusal(shared_digests_, now());
+    if (!pause)
+        co_return false;
+    co_await refuse("fatal_prompt", *pause);
+    co_return true;
+}
+
+void exchange::note_broken_off(const upstream_ptr& u, attempt_result result)
+{
+    if (result == attempt_result::lost && !caller_disconnected_)
+        state_.upstreams.note_broken_off(u, shared_digests_, now());
+}
+
 /// Places the request and, for a split request, runs its prefill.
 asio::awaitable<exchange::stream_step>
 exchange::place_and_prefill(stream_placement& placement)
 {
-    if (is_suspended_speaking())
+    if (is_suspended_speaking() || co_await refuse_fatal_prompt())
         co_return stream_step::finished;
     const auto plan = plan_engines();
     if (!plan)
@@ -220,6 +236,11 @@
         co_await refuse("prompt_not_read");
         co_return stream_step::finished;
     }
+    if (co_await refuse_fatal_prompt())
+    {
+        release(placement.kv);
+        co_return stream_step::finished;
+    }
     placement.decode_engine = choose_decode_engine(*placement.prefill_engine);
     if (placement.decode_engine)
         co_return stream_step::proceed;
@@ -269,6 +290,7 @@
         placement.decode_engine, std::move(options), prefill_guard);
     if (answer_started_)
         record_blocks(*placement.decode_engine, blocks_, duration{});
+    note_broken_off(placement.decode_engine, end.result);
     if (caller_disconnected_)
         co_return stream_step::replan;
     if (is_suspended_speaking())
@@ -308,7 +330,10 @@
                                               next_step step)
 {
     if (end.is_complete)
+    {
+        state_.upstreams.note_completed(shared_digests_, now());
         co_return log_ended("answered", 200);
+    }
     if (answer_started_ || step == next_step::fail)
         co_return co_await fail(end.result);
     if (step == next_step::deliver)
@@ -451,6 +476,7 @@
     --history_.attempts;
     --history_.executions;
     const call_status status = co_await forward_events(*u, call, [] {});
+    note_broken_off(u, result_of(status));
     if (caller_disconnected_)
         co_return stream_step::replan;
     if (status == call_status::interrupted)
--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -70,6 +70,7 @@
     upstream_ptr u = find(record.id);
     if (u && is_restarted(u->record, record))
     {
+        note_process_ended(*u);
         erase(u);
         u = nullptr;
     }
@@ -114,6 +115,7 @@
     if (!is_lapse)
     {
         ended_[{u->key, u->record.started_ms}] = now;
+        note_process_ended(*u);
         return erase(u);
     }
     u->lapse_deadline = (store_connected_ ? store_back_at_ : now) +
@@ -348,6 +350,7 @@
         erase(it);
     }
     discard_old_health(now);
+    discard_old_breaks(now);
     log_limited_calls(now);
     std::erase_if(ended_, [&](const auto& it)
                   { return now - it.second >= settings_.ended_report_time; });
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -9,6 +9,7 @@
 #include "gateway/types.hpp"
 #include "gateway/upstream_call.hpp"
 #include "policy/engine_placement.hpp"
+#include "policy/fatal_blocks.hpp"
 #include "policy/request_limit.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/stage_plan.hpp"
@@ -177,6 +178,20 @@
     void set_gateways(std::string self, std::vector<std::string> peers,
                       mono_time now);
 
+    /// Records that a request with these prefix blocks broke off at an engine.
+    /// It counts as a crash once the engine's process is known to have ended.
+    void note_broken_off(const upstream_ptr& u,
+                         std::vector<std::uint64_t> blocks, mono_time now);
+    /// Records that a request with these prefix blocks completed.
+    void note_completed(std::span<const std::uint64_t> blocks, mono_time now);
+    void
+    apply_reported_crashes(std::span<const policy::block_crash> crashes,
+                           std::span<const policy::block_completion> completed);
+    const policy::fatal_block_detector& fatal_blocks() const
+    {
+        return fatal_blocks_;
+    }
+
     /// Null if no upstream has registered for the service.
     service_fleet* find(const service_id& service);
     upstream_ptr find(const upstream_id& id) const;
@@ -201,7 +216,22 @@
         mono_time removed_at{};
     };
 
+    /// A request that broke off at an engine.
+    struct broken_off
+    {
+        upstream_ptr engine;
+        std::vector<std::uint64_t> blocks;
+        mono_time at{};
+    };
+
     service_fleet& fleet_of(const service_id& service);
+    /// Tries to connect to an engine at which requests broke off.
+    asio::awaitable<void> probe_process(upstream_ptr u);
+    /// Counts the requests that broke off at the engine as crashes, unless it
+    /// was leaving.
+    void note_process_ended(const upstream& u);
+    void record_crash(const policy::block_crash& crash);
+    void discard_old_breaks(mono_time now);
     /// Drops the upstream, and saves what it announced about itself.
     void erase(const upstream_ptr& it);
     /// Saves health and limit of an upstream without an entry, if it does not
@@ -228,6 +258,9 @@
     std::map<upstream_id, saved_health> saved_health_;
     /// Upstreams whose entries were removed, with the time of the removal.
     std::map<leaving_upstream, mono_time> ended_;
+    policy::fatal_block_detector fatal_blocks_;
+    /// Requests that broke off at engines whose processes may have ended.
+    std::vector<broken_off> broken_off_;
     std::string self_;
     std::vector<std::string> peers_; ///< Other gateways.
     mono_time limited_calls_logged_at_{};
--- /dev/null
+++ b/gateway/fleet_crashes.cpp
@@ -0,0 +1,114 @@
+// Prefix blocks under which engines crash.
+#include "gateway/fleet.hpp"
+#include "observe/log.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace poplar::gateway
+{
+
+namespace
+{
+
+using observe::event;
+
+constexpr duration probe_timeout = std::chrono::milliseconds(500);
+/// A process that has not ended within this time after a request broke off did
+/// not crash under it. Its entry lapses within three heartbeats.
+constexpr duration max_time_to_end = std::chrono::seconds(5);
+
+policy::engine_process process_of(const upstream& u)
+{
+    return {u.key, u.record.started_ms};
+}
+
+} // namespace
+
+void fleet::note_broken_off(const upstream_ptr& u,
+                            std::vector<std::uint64_t> blocks, mono_time now)
+{
+    const bool is_probed = std::ranges::any_of(
+        broken_off_, [&](const broken_off& it)
+        { return it.engine == u && now - it.at < probe_timeout; });
+    broken_off_.push_back({u, std::move(blocks), now});
+    if (ended_.contains({u->key, u->record.started_ms}))
+        return note_process_ended(*u);
+    if (!is_probed)
+        asio::co_spawn(context_, probe_process(u), asio::detached);
+}
+
+asio::awaitable<void> fleet::probe_process(upstream_ptr u)
+{
+    error_code ec;
+    connection_ptr c = co_await u->connections.connect(probe_timeout, ec);
+    if (c)
+        u->connections.release(std::move(c), now());
+    if (ec == asio::error::connection_refused)
+        note_process_ended(*u);
+}
+
+void fleet::note_process_ended(const upstream& u)
+{
+    const auto is_here = [&](const broken_off& it)
+    {
+        return it.engine->key == u.key &&
+               it.engine->record.started_ms == u.record.started_ms;
+    };
+    const auto count = std::ranges::count_if(broken_off_, is_here);
+    const bool is_planned =
+        u.record.state != upstream_state::ready || u.health.is_leaving();
+    if (count == 0 || is_planned)
+        return;
+    observe::log(event::gateway_engine_crashed,
+                 {{"upstream", u.record.id.value},
+                  {"started_ms", u.record.started_ms},
+                  {"requests", count}});
+    for (const broken_off& it : broken_off_)
+        if (is_here(it))
+            for (const std::uint64_t block : it.blocks)
+                record_crash({block, process_of(u), it.at});
+    std::erase_if(broken_off_, is_here);
+}
+
+void fleet::record_crash(const policy::block_crash& crash)
+{
+    const std::size_t before = fatal_blocks_.crash_count(crash.block);
+    fatal_blocks_.record_crash(crash);
+    const std::size_t after = fatal_blocks_.crash_count(crash.block);
+    if (after > before && after > 1)
+        observe::log(event::gateway_block_suspected,
+                     {{"block", crash.block}, {"crashes", after}});
+}
+
+void fleet::note_completed(std::span<const std::uint64_t> blocks, mono_time now)
+{
+    for (const std::uint64_t it : blocks)
+    {
+        const std::size_t crashes = fatal_blocks_.crash_count(it);
+        fatal_blocks_.record_completion({it, now});
+        if (crashes > 1)
+            observe::log(event::gateway_block_cleared,
+                         {{"block", it}, {"crashes", crashes}});
+    }
+}
+
+void fleet::apply_reported_crashes(
+    std::span<const policy::block_crash> crashes,
+    std::span<const policy::block_completion> completed)
+{
+    for (const policy::block_completion& it : completed)
+        fatal_blocks_.record_completion(it);
+    for (const policy::block_crash& it : crashes)
+        record_crash(it);
+}
+
+void fleet::discard_old_breaks(mono_time now)
+{
+    std::erase_if(broken_off_, [&](const broken_off& it)
+                  { return now - it.at > max_time_to_end; });
+}
+
+} // namespace poplar::gateway
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -51,6 +51,14 @@
 /// Limit of announced request limits in one report, 32 bytes each; further ones
 /// are left out.
 constexpr std::size_t max_limits = 200;
+/// Limits of block crashes and completions in one report, 32 and 16 bytes
+/// each; further ones are left out.
+constexpr std::size_t max_crashes = 100;
+/// Crashes and completions are in every report for the first time, so that all
+/// peers learn of them soon, and then in one of several, for peers that start.
+constexpr duration crash_news_time = std::chrono::seconds(5);
+constexpr duration crash_memory = std::chrono::minutes(30);
+constexpr std::uint64_t reports_per_crash_repeat = 16;
 /// Time without reports after which a gateway no longer has a share of the
 /// request limits of upstreams.
 constexpr duration gateway_timeout = std::chrono::seconds(10);
@@ -132,6 +140,37 @@
             std::chrono::milliseconds(in.age_ms())};
 }
 
+/// Times on the wire are ages, since the clocks of gateways differ.
+std::uint32_t age_ms(mono_time at, mono_time now)
+{
+    return clamp32(to_milliseconds(now - at));
+}
+
+std::vector<fb::block_crash>
+to_wire(const std::vector<policy::block_crash>& crashes, mono_time now)
+{
+    std::vector<fb::block_crash> out;
+    std::ranges::transform(crashes, std::back_inserter(out),
+                           [now](const policy::block_crash& it)
+                           {
+                               return fb::block_crash(
+                                   it.block, it.process.engine,
+                                   it.process.started_ms, age_ms(it.at, now));
+                           });
+    return out;
+}
+
+std::vector<fb::block_completion>
+to_wire(const std::vector<policy::block_completion>& completions, mono_time now)
+{
+    std::vector<fb::block_completion> out;
+    std::ranges::transform(
+        completions, std::back_inserter(out),
+        [now](const policy::block_completion& it)
+        { return fb::block_completion(it.block, age_ms(it.at, now)); });
+    return out;
+}
+
 std::vector<fb::service_demand> to_wire(const demand_by_service& demand)
 {
     std::vector<fb::service_demand> out;
@@ -180,6 +219,8 @@
     const auto leaving = to_wire(report.leaving);
     const auto demand = to_wire(report.demand);
     const auto limits = to_wire(report.limits);
+    const auto crashes = to_wire(report.crashes, now());
+    const auto completions = to_wire(report.completions, now());
     const auto configuration = to_wire(report.configuration);
     builder.Finish(fb::Createload_report(
         builder, report_version, builder.CreateString(report.sender),
@@ -188,7 +229,9 @@
         configuration ? &*configuration : nullptr,
         builder.CreateVectorOfStructs(leaving),
         builder.CreateVectorOfStructs(demand),
-        builder.CreateVectorOfStructs(limits)));
+        builder.CreateVectorOfStructs(limits),
+        builder.CreateVectorOfStructs(crashes),
+        builder.CreateVectorOfStructs(completions)));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -227,6 +270,16 @@
     if (in->limits())
         for (const fb::request_limit* it : *in->limits())
             report.limits.push_back(from_wire(*it));
+    if (in->crashes())
+        for (const fb::block_crash* it : *in->crashes())
+            report.crashes.push_back(
+                {it->block(),
+                 {it->upstream(), it->started_ms()},
+                 now() - std::chrono::milliseconds(it->age_ms())});
+    if (in->completions())
+        for (const fb::block_completion* it : *in->completions())
+            report.completions.push_back(
+                {it->block(), now() - std::chrono::milliseconds(it->age_ms())});
     return report;
 }
 
@@ -402,13 +455,18 @@
         if (has_engines(it))
             report.demand.emplace_back(digest(name.value),
                                        it.demand.value(now()));
+    const bool repeats = number_ % reports_per_crash_repeat == 0;
+    const mono_time since = now() - (repeats ? crash_memory : crash_news_time);
+    report.crashes = upstreams_.fatal_blocks().crashes(since, max_crashes);
+    report.completions =
+        upstreams_.fatal_blocks().completions(since, max_crashes);
     sent_blocks_.push_back(std::exchange(pending_blocks_, {}));
     while (sent_blocks_.size() > std::max<std::size_t>(reports_per_cycle(), 1))
         sent_blocks_.pop_front();
     for (const auto& it : sent_blocks_)
         report.blocks.insert(report.blocks.end(), it.begin(), it.end());
     const bool is_idle = report.loads.empty() && report.blocks.empty() &&
-                         report.leaving.empty() &&
+                         report.leaving.empty() && report.crashes.empty() &&
                          !hooks_.has_dependent_peers();
     if (is_idle && was_idle_ && now() - last_sent_ < idle_interval)
         return;
@@ -467,6 +525,7 @@
         gateways_.insert_or_assign(report.sender, now()).second)
         update_gateways();
     upstreams_.apply_reported_limits(report.limits, now());
+    upstreams_.apply_reported_crashes(report.crashes, report.completions);
     for (const reported_block& it : report.blocks)
         if (const upstream_ptr u = upstreams_.find_by_key(it.upstream))
             u->placed.cache.add({&it.block, 1}, now() + it.ready_in);
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -56,6 +56,8 @@
     std::vector<leaving_upstream> leaving;
     demand_by_service demand;
     std::vector<announced_limit> limits;
+    std::vector<policy::block_crash> crashes;
+    std::vector<policy::block_completion> completions;
 };
 
 /// Hooks for state that other components share through the load reports.
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -35,6 +35,9 @@
     r.demand = {{5, {1.5, 0.25}}};
     r.limits = {{7, 1'700'000'000'000, 3.1, milliseconds(30)},
                 {8, 1'700'000'000'001, std::nullopt, milliseconds(40)}};
+    const mono_time crashed_at = now() - seconds(3);
+    r.crashes = {{11, {7, 1'700'000'000'000}, crashed_at}};
+    r.completions = {{12, crashed_at + seconds(1)}};
     const load_report back = decode_load_report(encode_load_report(r));
     EXPECT_EQ(back.sender, "a");
     ASSERT_TRUE(back.configuration);
@@ -53,6 +56,17 @@
     EXPECT_DOUBLE_EQ(back.demand[0].second.prefill, 1.5);
     EXPECT_DOUBLE_EQ(back.demand[0].second.decode, 0.25);
     EXPECT_EQ(back.limits, r.limits);
+    const auto is_near = [](mono_time a, mono_time b)
+    {
+        return std::chrono::abs(a - b) < milliseconds(500);
+    };
+    ASSERT_EQ(back.crashes.size(), 1U);
+    EXPECT_EQ(back.crashes[0].block, 11U);
+    EXPECT_EQ(back.crashes[0].process, r.crashes[0].process);
+    EXPECT_TRUE(is_near(back.crashes[0].at, crashed_at));
+    ASSERT_EQ(back.completions.size(), 1U);
+    EXPECT_EQ(back.completions[0].block, 12U);
+    EXPECT_TRUE(is_near(back.completions[0].at, crashed_at + seconds(1)));
 }
 
 RC_GTEST_PROP(load_report_bytes, are_refused_when_changed,
--- a/tests/platform/gateway_crashing_prompt_test.cpp
+++ b/tests/platform/gateway_crashing_prompt_test.cpp
@@ -92,6 +92,21 @@
                            blocks + ",ff" + id + ":40\r\n");
     }
 
+    std::string send(const std::string& blocks)
+    {
+        return status_of(fetch(prompt(blocks), "0\r\n\r\n"));
+    }
+
+    void crash_engines()
+    {
+        for (unsigned n = 0; n < 40 && crashes_ < max_crashes; ++n)
+        {
+            send("aa:100,dead:50");
+            restart_engines();
+            EXPECT_EQ(send("aa:100,bb:50"), "200");
+        }
+    }
+
     std::array<engine, engine_count> engines_;
     std::atomic<unsigned> fatal_requests_ = 0;
     unsigned starts_ = 0;
@@ -101,16 +116,7 @@
 
 TEST_F(crashing_engines, get_no_more_prompts_with_the_block_that_crashes_them)
 {
-    const auto send = [this](const std::string& blocks)
-    {
-        return status_of(fetch(prompt(blocks), "0\r\n\r\n"));
-    };
-    for (unsigned n = 0; n < 40 && crashes_ < max_crashes; ++n)
-    {
-        send("aa:100,dead:50");
-        restart_engines();
-        EXPECT_EQ(send("aa:100,bb:50"), "200");
-    }
+    crash_engines();
     const unsigned before = fatal_requests_;
     std::string refusal;
     for (unsigned n = 0; n < 10; ++n)
@@ -125,5 +131,22 @@
     EXPECT_NE(field_of(refusal, "Retry-After"), "");
 }
 
+// A gateway that has seen no crash itself went on sending such prompts.
+TEST_F(crashing_engines, get_no_such_prompts_from_other_gateways)
+{
+    gateway_settings s;
+    s.instance = instance_id("other");
+    s.failure_domain = failure_domain_id("z");
+    s.listen = s.ready = s.admin = s.peer = {"127.0.0.1", 0};
+    gateway other(s, store_);
+    crash_engines();
+    std::this_thread::sleep_for(milliseconds(1500));
+    const unsigned before = fatal_requests_;
+    scripted_caller c(other.address());
+    c.send(prompt("aa:100,dead:50"));
+    EXPECT_EQ(status_of(c.read_until("\r\n\r\n")), "503");
+    EXPECT_EQ(fatal_requests_, before);
+}
+
 } // namespace
 } // namespace poplar::gateway
