Exchange: the hold of a fatal prompt is a plain function

The builds of the tests, with -O2, passed. Cause: GCC 12 destroyed the awaitable of a co_await in a condition twice, so that the memory of its frame was given to two coroutines. Change: the check does not suspend; only the refusal is awaited.

--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -92,9 +92,9 @@
     };
 
     bool find_route();
-    /// Refuses a prompt that would crash its engine; returns false if the
-    /// prompt may be sent.
-    asio::awaitable<bool> refuse_fatal_prompt();
+    /// Time for which the prompt is not to be sent, since it would crash its
+    /// engine; empty if it may be sent.
+    std::optional<duration> fatal_prompt_hold() const;
     void note_broken_off(const upstream_ptr& u, attempt_result result);
     asio::awaitable<void> serve_call();
     asio::awaitable<void> serve_stream();
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -154,14 +154,9 @@
     co_return step;
 }
 
-asio::awaitable<bool> exchange::refuse_fatal_prompt()
+std::optional<duration> exchange::fatal_prompt_hold() const
 {
-    const auto pause =
-        state_.upstreams.fatal_blocks().refusal(shared_digests_, now());
-    if (!pause)
-        co_return false;
-    co_await refuse("fatal_prompt", *pause);
-    co_return true;
+    return state_.upstreams.fatal_blocks().refusal(shared_digests_, now());
 }
 
 void exchange::note_broken_off(const upstream_ptr& u, attempt_result result)
@@ -174,8 +169,13 @@
 asio::awaitable<exchange::stream_step>
 exchange::place_and_prefill(stream_placement& placement)
 {
-    if (is_suspended_speaking() || co_await refuse_fatal_prompt())
+    if (is_suspended_speaking())
+        co_return stream_step::finished;
+    if (const auto pause = fatal_prompt_hold())
+    {
+        co_await refuse("fatal_prompt", *pause);
         co_return stream_step::finished;
+    }
     const auto plan = plan_engines();
     if (!plan)
     {
@@ -236,9 +236,10 @@
         co_await refuse("prompt_not_read");
         co_return stream_step::finished;
     }
-    if (co_await refuse_fatal_prompt())
+    if (const auto pause = fatal_prompt_hold())
     {
         release(placement.kv);
+        co_await refuse("fatal_prompt", *pause);
         co_return stream_step::finished;
     }
     placement.decode_engine = choose_decode_engine(*placement.prefill_engine);
