Upstream calls: the deadline of a body in the clock of the stream's timer

What callers would see: after their gateway's machine was suspended, answers without progress ended later than the route allows, by the time of all suspensions. Cause: the deadline is a time of CLOCK_BOOTTIME, the timer of the stream takes it for one of CLOCK_MONOTONIC, which does not count that time. Change: the time left is passed instead, as at the start of the call. Found by reading; no test, since a test cannot suspend the machine.

--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -107,6 +107,13 @@
         connection_->stream.close();
 }
 
+/// The stream's timer runs on another clock than `now`, which goes on while the
+/// machine is suspended; only durations may be passed between them.
+duration upstream_call::time_left() const
+{
+    return std::max<duration>(deadline_ - now(), std::chrono::milliseconds(1));
+}
+
 bool upstream_call::interrupt()
 {
     if (!connection_ || !outgoing_ || !outgoing_->is_written)
@@ -150,8 +157,7 @@
         failure_ = asio::error::operation_not_supported;
         co_return call_status::not_connected;
     }
-    connection_->stream.expires_after(
-        std::max<duration>(deadline_ - now(), std::chrono::milliseconds(1)));
+    connection_->stream.expires_after(time_left());
     send();
     for (unsigned n = 0; n <= max_skipped_answers; ++n)
     {
@@ -266,7 +272,7 @@
     is_end = parser_->is_done();
     if (is_end)
         co_return call_status::ok;
-    connection_->stream.expires_at(deadline_);
+    connection_->stream.expires_after(time_left());
     const std::size_t before = body.size();
     body.resize(before + read_size);
     auto& buffer = parser_->get().body();
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -111,6 +111,7 @@
     using parser = http::response_parser<http::buffer_body>;
     struct outgoing;
 
+    duration time_left() const;
     asio::awaitable<call_status> connect();
     void send();
     asio::awaitable<call_status> read_head();
