Test: late copies of a refusal on a kept connection, 156 cases

Operators of a similar system report that a faulty worker wrote an earlier refusal once more on a kept connection, and that callers were told "not run" for requests that ran, or such requests ran twice.

The table plays 13 copies (503, 429, 421 and 400; with the id of the earlier request, without any; behind an interim answer or an answer to a third request) before the next request, between it and its answer, and together with its answer, on an idempotent, a non-idempotent, a resumable and a non-resumable route.

The scripted upstream now sets TCP_NODELAY. Without it a second small write waited for a delayed acknowledgement, so that the copy "before the next request" arrived 40 ms late in some runs.

--- /dev/null
+++ b/tests/platform/gateway_late_answers_test.cpp
@@ -0,0 +1,221 @@
+// Guards against a refusal of an earlier request that an upstream writes once
+// more on a kept connection: it must not be taken for the answer to another
+// request, which then would be called not run or sent to a second upstream.
+#include "tests/platform/gateway_fixture.hpp"
+
+namespace poplar::gateway
+{
+namespace
+{
+
+/// Head of an empty answer; an empty `id` is left out.
+std::string empty_answer(unsigned status, const std::string& id,
+                         const std::string& fields = "")
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" +
+           (id.empty() ? "" : "Attempt-Id: " + id + "\r\n") + fields +
+           "Content-Length: 0\r\n\r\n";
+}
+
+constexpr const char* not_executed = "Not-Executed: 1\r\n";
+
+std::size_t count_sent(const scripted_upstream& u, const std::string& id)
+{
+    return std::size_t(std::ranges::count(
+        u.heads(), id,
+        [](const std::string& it) { return field_of(it, "Attempt-Id"); }));
+}
+
+void wait_until(const std::atomic<bool>& flag)
+{
+    const mono_time deadline = now() + seconds(2);
+    while (now() < deadline && !flag)
+        std::this_thread::sleep_for(milliseconds(2));
+}
+
+/// Waits until the request arrives.
+bool is_sent(const scripted_upstream& u, const std::string& id)
+{
+    const mono_time deadline = now() + seconds(2);
+    while (now() < deadline && count_sent(u, id) == 0)
+        std::this_thread::sleep_for(milliseconds(2));
+    return count_sent(u, id) == 1;
+}
+
+struct late_route
+{
+    const char* name;
+    const char* path;
+    bool is_stream;
+    bool is_repeatable;
+};
+
+struct late_copy
+{
+    const char* name;
+    std::string bytes;
+    bool has_id;
+};
+
+enum class copy_time
+{
+    before_the_request,
+    before_its_answer,
+    with_its_answer
+};
+
+using late_case = std::tuple<late_route, late_copy, copy_time>;
+
+class late_refusal : public gateway_test,
+                     public testing::WithParamInterface<late_case>
+{
+protected:
+    const late_route& route() const
+    {
+        return std::get<0>(GetParam());
+    }
+    const std::string& copy() const
+    {
+        return std::get<1>(GetParam()).bytes;
+    }
+    copy_time time() const
+    {
+        return std::get<2>(GetParam());
+    }
+
+    void start_with_routes()
+    {
+        json config = configuration_json(1);
+        json single = route_json("/single/", "writers", "stream");
+        single["resumable"] = false;
+        config["routes"].push_back(single);
+        put("config/main", config);
+        start_without_configuration();
+        wait_until_ready();
+    }
+
+    void add(const char* id, const scripted_upstream& u)
+    {
+        add_upstream(id, u.address(), route().is_stream ? "writers" : "desk",
+                     route().is_stream ? "decode" : "");
+    }
+
+    std::string make_request(const char* id) const
+    {
+        return request(route().path, id,
+                       route().is_stream ? "Model: m\r\nToken-Count: 100,20\r\n"
+                                           "Prompt-Prefix: aa:60,bb:40\r\n"
+                                         : "");
+    }
+
+    std::string own_answer(const std::string& id) const
+    {
+        if (!route().is_stream)
+            return whole_answer(200, id, "end of answer");
+        return stream_head(id) + chunk("id: 1\ndata: end of answer\n\n") +
+               "0\r\n\r\n";
+    }
+
+    scripted_answer refuse_earlier() const
+    {
+        scripted_answer a{empty_answer(503, "earlier", not_executed)};
+        if (time() == copy_time::before_the_request)
+            a.pieces = {copy()};
+        return a;
+    }
+
+    scripted_answer answer(const std::string& head) const
+    {
+        const std::string id = field_of(head, "Attempt-Id");
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        if (id == "earlier")
+            return refuse_earlier();
+        wait_until(has_alternative_);
+        if (time() == copy_time::before_its_answer)
+            return {.pieces = {copy(), own_answer(id)},
+                    .pause = milliseconds(40)};
+        if (time() == copy_time::with_its_answer)
+            return {copy() + own_answer(id)};
+        return {own_answer(id)};
+    }
+
+    std::atomic<bool> has_alternative_ = false;
+};
+
+TEST_P(late_refusal, is_not_the_answer_to_another_request)
+{
+    scripted_upstream faulty([this](const std::string& head)
+                             { return answer(head); });
+    scripted_upstream other(
+        [this](const std::string& head) -> scripted_answer
+        { return {own_answer(field_of(head, "Attempt-Id"))}; });
+    add("i-1", faulty);
+    start_with_routes();
+    ASSERT_EQ(status_of(fetch(make_request("earlier"), "\r\n\r\n")), "503");
+    std::this_thread::sleep_for(milliseconds(40));
+    scripted_caller c(gateway_->address());
+    c.send(make_request("own"));
+    ASSERT_TRUE(is_sent(faulty, "own"));
+    add("i-2", other);
+    std::this_thread::sleep_for(milliseconds(60));
+    has_alternative_ = true;
+    const std::string head = c.read_until("\r\n\r\n", seconds(3));
+    const std::string status = status_of(head);
+    EXPECT_EQ(field_of(head, "Attempt-Id"), "own");
+    const bool is_told_apart = std::get<1>(GetParam()).has_id ||
+                               time() == copy_time::before_the_request;
+    EXPECT_EQ(status, is_told_apart || route().is_repeatable ? "200" : "502");
+    if (is_told_apart || !route().is_repeatable)
+    {
+        EXPECT_EQ(count_sent(other, "own"), 0U);
+    }
+}
+
+const std::array late_routes{
+    late_route{"idempotent", "/safe/x", false, true},
+    late_route{"non_idempotent", "/once/x", false, false},
+    late_route{"resumable", "/stream/x", true, true},
+    late_route{"not_resumable", "/single/x", true, false}};
+
+std::vector<late_copy> late_copies()
+{
+    const std::string busy = empty_answer(503, "earlier", not_executed);
+    return {{"busy", busy, true},
+            {"limited", empty_answer(429, "earlier", not_executed), true},
+            {"misdirected", empty_answer(421, "earlier"), true},
+            {"invalid", empty_answer(400, "earlier", not_executed), true},
+            {"twice", busy + busy, true},
+            {"after_interim", "HTTP/1.1 102 X\r\n\r\n" + busy, true},
+            {"after_another", whole_answer(200, "other", "of another") + busy,
+             true},
+            {"busy_no_id", empty_answer(503, "", not_executed), false},
+            {"limited_no_id", empty_answer(429, "", not_executed), false},
+            {"misdirected_no_id", empty_answer(421, ""), false},
+            {"invalid_no_id", empty_answer(400, "", not_executed), false},
+            {"after_interim_no_id",
+             "HTTP/1.1 102 X\r\n\r\n" + empty_answer(503, "", not_executed),
+             false},
+            {"after_another_no_id", busy + empty_answer(503, "", not_executed),
+             false}};
+}
+
+std::string late_case_name(const testing::TestParamInfo<late_case>& it)
+{
+    constexpr std::array times{"before", "between", "together"};
+    return std::string(std::get<0>(it.param).name) + "_" +
+           std::get<1>(it.param).name + "_" +
+           times.at(std::size_t(std::get<2>(it.param)));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, late_refusal,
+    testing::Combine(testing::ValuesIn(late_routes),
+                     testing::ValuesIn(late_copies()),
+                     testing::Values(copy_time::before_the_request,
+                                     copy_time::before_its_answer,
+                                     copy_time::with_its_answer)),
+    late_case_name);
+
+} // namespace
+} // namespace poplar::gateway
--- a/tests/platform/scripted_upstream.cpp
+++ b/tests/platform/scripted_upstream.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -106,6 +107,9 @@
         const int s = accept(listener_, nullptr, nullptr);
         if (s < 0)
             continue;
+        // Otherwise a second small piece waits for a delayed acknowledgement.
+        const int on = 1;
+        setsockopt(s, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         absl::MutexLock lock(&mutex_);
         connections_.emplace_back([this, s] { serve(s); });
     }
