Upstream calls: close a connection after an answer of no open request

What callers saw: a request was answered 503 "not run" although the upstream ran it, if on a new connection the upstream first wrote a refusal of another request and then one without id: the call skipped the first and took the second for its own. After a skipped answer the connection went back to the pool, where more such answers could follow; after a refusal without id, too. The calls of the gateway itself (KV cache release) have no id and took a late refusal for their answer; their own answer then was left for the next request of the connection, whose prefill failed.

Cause: whether an answer without id can be told from a late one was decided by the number of earlier requests of the connection only, and a connection was reused whatever answers it had carried.

Change: an answer without id is not attributed to a request once an answer to another request came. A connection is pooled only if its last answer carried the id of the request, or had none where nothing came before, and no answer was skipped. Interim answers do not count.

--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -87,10 +87,19 @@
         connection_->stream.close();
 }
 
+bool upstream_call::may_be_late_answer() const
+{
+    return info_.id.empty() &&
+           (connection_->requests > 0 || has_foreign_answer_);
+}
+
+/// A connection is closed if the answer may belong to another request: its own
+/// answer would then be left for the next call.
 bool upstream_call::is_reusable() const
 {
     return is_complete_ && outgoing_->is_written && parser_->keep_alive() &&
-           connection_->buffer.size() == 0;
+           connection_->buffer.size() == 0 && info_.id == request_.id &&
+           !may_be_late_answer() && !has_foreign_answer_;
 }
 
 void upstream_call::cancel()
@@ -161,15 +170,11 @@
         const bool is_interim = head().result_int() < 200;
         const bool is_for_other_request =
             !info_.id.empty() && info_.id != request_.id;
-        // On a reused connection, an answer without id may be a late answer to
-        // an earlier request.
-        const bool may_be_late_answer = info_.id.empty() &&
-                                        !request_.id.empty() &&
-                                        connection_->requests > 0;
-        if (!is_interim && may_be_late_answer)
+        if (!is_interim && !request_.id.empty() && may_be_late_answer())
             co_return call_status::broken;
         if (!is_interim && !is_for_other_request)
             co_return call_status::ok;
+        has_foreign_answer_ = has_foreign_answer_ || !is_interim;
         const call_status skipped = co_await skip_body();
         if (skipped != call_status::ok)
             co_return skipped;
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -116,6 +116,8 @@
     asio::awaitable<call_status> read_head();
     asio::awaitable<call_status> skip_body();
     call_status status_of(const error_code& ec);
+    /// Whether the answer may belong to an earlier request of the connection.
+    bool may_be_late_answer() const;
     bool is_reusable() const;
 
     connection_pool& pool_;
@@ -131,6 +133,8 @@
     bool is_stalled_ = false;
     bool is_interrupted_ = false;
     bool is_complete_ = false;
+    /// An answer to another request was skipped.
+    bool has_foreign_answer_ = false;
 };
 
 /// Points `pointer` to a call for the duration of a scope.
--- a/tests/platform/gateway_late_answers_test.cpp
+++ b/tests/platform/gateway_late_answers_test.cpp
@@ -217,5 +217,108 @@
                                      copy_time::with_its_answer)),
     late_case_name);
 
+struct kept_case
+{
+    const char* name;
+    std::string before; ///< Written before the answer to the first request.
+    std::string answer; ///< To the first request; empty: a success.
+    const char* status; ///< Of the first request.
+    std::size_t connections;
+};
+
+class connection_after : public gateway_test,
+                         public testing::WithParamInterface<kept_case>
+{
+};
+
+// More may follow on a connection that carried an answer to no open request.
+TEST_P(connection_after, is_kept_only_if_all_answers_were_identified)
+{
+    std::atomic<unsigned> count = 0;
+    scripted_upstream u(
+        [&](const std::string& head) -> scripted_answer
+        {
+            const std::string own = whole_answer(
+                200, field_of(head, "Attempt-Id"), "end of answer");
+            if (count++ > 0)
+                return {own};
+            return {GetParam().before +
+                    (GetParam().answer.empty() ? own : GetParam().answer)};
+        });
+    add_upstream("i-1", u.address(), "desk");
+    start();
+    EXPECT_EQ(status_of(fetch(request("/once/x", "1"), "\r\n\r\n")),
+              GetParam().status);
+    EXPECT_EQ(status_of(fetch(request("/once/x", "2"))), "200");
+    EXPECT_EQ(u.connections(), GetParam().connections);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, connection_after,
+    testing::Values(
+        kept_case{"interim", "HTTP/1.1 102 X\r\n\r\n", "", "200", 1},
+        kept_case{"refusal", "", empty_answer(503, "1", not_executed), "503",
+                  1},
+        kept_case{"another", empty_answer(503, "0", not_executed), "", "200",
+                  2},
+        kept_case{"no_id", "", empty_answer(503, "", not_executed), "503", 2},
+        kept_case{"another_and_no_id",
+                  empty_answer(503, "0", not_executed) +
+                      empty_answer(503, "", not_executed),
+                  "", "502", 2}),
+    [](const auto& it) { return it.param.name; });
+
+// The call that frees KV cache has no id and took a copy of a refusal for its
+// answer; its own answer then was left for the next request.
+TEST_F(gateway_test, leaves_no_answer_of_its_own_call_to_the_next_request)
+{
+    std::atomic<bool> is_released = false;
+    std::atomic<unsigned> decodes = 0;
+    const auto prefill = [&](const std::string& head) -> scripted_answer
+    {
+        if (head.starts_with("GET"))
+            return {whole_answer(404, "", "")};
+        if (head.starts_with("POST"))
+            return {.bytes = whole_answer(200, field_of(head, "Attempt-Id"),
+                                          R"({"kvHandle":"h"})"),
+                    .delay = milliseconds(100)};
+        is_released = true;
+        return {.bytes = empty_answer(503, "", not_executed),
+                .pieces = {empty_answer(200, "")},
+                .pause = milliseconds(150)};
+    };
+    const auto decode = [&](const std::string& head) -> scripted_answer
+    {
+        const std::string id = field_of(head, "Attempt-Id");
+        if (head.starts_with("GET"))
+            return {whole_answer(404, "", "")};
+        if (decodes++ == 0)
+            return {empty_answer(503, id, not_executed)};
+        return {stream_head(id) + chunk("id: 1\n\n") + "0\r\n\r\n"};
+    };
+    scripted_upstream prefill_engine(prefill);
+    scripted_upstream decode_engine(decode);
+    add_upstream("p", prefill_engine.address(), "writers", "prefill");
+    add_upstream("d", decode_engine.address(), "writers", "decode");
+    start();
+    const auto prompt = [](const std::string& id)
+    {
+        return "POST /stream/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " +
+               id +
+               "\r\nDeadline-Ms: 3000\r\nModel: m\r\n"
+               "Token-Count: 9000,20\r\nPrompt-Prefix: aa" +
+               id + ":9000\r\nContent-Length: 0\r\n\r\n";
+    };
+    EXPECT_EQ(status_of(fetch(prompt("1"), "\r\n\r\n")), "503");
+    const mono_time until = now() + seconds(1);
+    while (now() < until && !is_released)
+        std::this_thread::sleep_for(milliseconds(5));
+    ASSERT_TRUE(is_released);
+    std::this_thread::sleep_for(milliseconds(30));
+    EXPECT_EQ(status_of(fetch(prompt("2"), "0\r\n\r\n")), "200");
+    EXPECT_EQ(field_of(decode_engine.heads().back(), "Kv-Source"),
+              to_string(prefill_engine.address()) + "/h");
+}
+
 } // namespace
 } // namespace poplar::gateway
