Upstream calls: tell the refusals of requests with the same id apart

What callers saw: a caller that sent a second request with the id of a refused one, or two requests without id, was told 503 "not run" while the upstream ran the second one, if the upstream wrote the first refusal once more on the same connection. The request could also be sent to a second upstream.

Cause: such answers carry the id that the call expects.

Change: a connection remembers the ids of up to 16 requests that were refused on it and carries no request with one of these ids again; after more refusals it is closed. A request without id is sent on a new connection.

Ruled out: the gateway itself never sends an id twice to an upstream that has refused it. Every refusal, of a prefill call as well as of a decode call, puts the upstream on the exclusion list, which placement, move_decode and the choice of the decode engine after the prefill all honour; a stage change in between can bring only the decode call after a successful prefill call to the same engine. Callers are required to use new ids, so this concerns faulty callers.

repeated_id (same, none) failed before with 503 instead of 200.

--- a/gateway/connections.cpp
+++ b/gateway/connections.cpp
@@ -20,6 +20,9 @@
 constexpr duration close_margin = std::chrono::milliseconds(700);
 /// Assumed when the upstream sends no Keep-Alive timeout.
 constexpr duration default_idle_timeout = std::chrono::seconds(3);
+/// A connection that carried more refusals is closed, which bounds the ids that
+/// are kept.
+constexpr std::size_t max_refused = 16;
 
 duration compute_usable_idle_time(const upstream_connection& c)
 {
@@ -52,22 +55,24 @@
 {
 }
 
-connection_ptr connection_pool::acquire(duration max_idle_time, mono_time now)
+connection_ptr connection_pool::acquire(const attempt_id& id,
+                                        duration max_idle_time, mono_time now)
 {
     while (!idle_.empty())
     {
         connection_ptr c = std::move(idle_.back());
         idle_.pop_back();
         const duration idle = now - c->idle_since;
-        if (idle <= std::min(max_idle_time, compute_usable_idle_time(*c)) &&
-            !has_pending_input(c->stream.socket()))
+        if (idle > compute_usable_idle_time(*c) ||
+            has_pending_input(c->stream.socket()))
+            continue;
+        const bool has_refused =
+            std::ranges::find(c->refused, id) != c->refused.end();
+        if (idle <= max_idle_time && !has_refused)
             return c;
-        if (idle > max_idle_time && idle <= compute_usable_idle_time(*c))
-        {
-            // Too old for this request, but usable for others.
-            idle_.push_back(std::move(c));
-            return nullptr;
-        }
+        // Not for this request, but usable for others.
+        idle_.push_back(std::move(c));
+        return nullptr;
     }
     return nullptr;
 }
@@ -102,6 +107,8 @@
 
 void connection_pool::release(connection_ptr connection, mono_time now)
 {
+    if (connection->refused.size() > max_refused)
+        return;
     ++connection->requests;
     connection->idle_since = now;
     connection->stream.expires_never();
--- a/gateway/connections.hpp
+++ b/gateway/connections.hpp
@@ -3,6 +3,7 @@
 
 #include "base/address.hpp"
 #include "base/time.hpp"
+#include "gateway/types.hpp"
 
 // Boost.Asio 1.74 uses std::exchange without including its header.
 #include <utility>
@@ -48,6 +49,9 @@
     /// when it has not said.
     duration idle_timeout{};
     unsigned requests = 0; ///< Completed before the current one.
+    /// Requests that the upstream refused on this connection; it may write
+    /// their refusals once more.
+    std::vector<attempt_id> refused;
 };
 
 using connection_ptr = std::shared_ptr<upstream_connection>;
@@ -68,9 +72,10 @@
                     connection_limits limits);
 
     /// Returns a pooled connection that has been idle for at most
-    /// `max_idle_time`, is still open and has no unexpected input; null when
-    /// there is none.
-    connection_ptr acquire(duration max_idle_time, mono_time now);
+    /// `max_idle_time`, is still open, has no unexpected input and carried no
+    /// refusal of a request with the same id; null when there is none.
+    connection_ptr acquire(const attempt_id& id, duration max_idle_time,
+                           mono_time now);
 
     /// Opens a connection; returns null and sets `ec` when that fails or takes
     /// longer than `timeout`, or when too many connections are open.
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -154,6 +154,7 @@
     c.head = platform::encode_request(request_.head, options);
     c.body = request_.body;
     c.id = info_.id;
+    c.needs_new_connection = info_.id.empty();
     c.timeout = options.remaining_time + answer_margin;
     if (!history_.is_repeatable && !options.prefill_only)
         c.max_idle = max_idle_unrepeatable;
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -81,6 +81,8 @@
     if (connection_ && is_reusable())
     {
         connection_->idle_timeout = info_.keep_alive.value_or(duration::zero());
+        if (info_.not_executed)
+            connection_->refused.push_back(request_.id);
         pool_.release(std::move(connection_), now());
     }
     else if (connection_)
@@ -184,7 +186,8 @@
 
 asio::awaitable<call_status> upstream_call::connect()
 {
-    connection_ = pool_.acquire(request_.max_idle, now());
+    if (!request_.needs_new_connection)
+        connection_ = pool_.acquire(request_.id, request_.max_idle, now());
     if (connection_)
         co_return call_status::ok;
     error_code ec;
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -55,6 +55,9 @@
     duration connect_timeout{std::chrono::milliseconds(400)};
     /// Longest idle time of a pooled connection that may carry the request.
     duration max_idle{std::chrono::hours(1)};
+    /// For a request without id, whose answer could not be told from a late
+    /// answer to an earlier request of a pooled connection.
+    bool needs_new_connection = false;
     call_hooks hooks;
 };
 
--- a/tests/platform/gateway_late_answers_test.cpp
+++ b/tests/platform/gateway_late_answers_test.cpp
@@ -217,6 +217,59 @@
                                      copy_time::with_its_answer)),
     late_case_name);
 
+struct same_id_case
+{
+    const char* name;
+    const char* id; ///< Of both requests.
+};
+
+class repeated_id : public gateway_test,
+                    public testing::WithParamInterface<same_id_case>
+{
+};
+
+// Callers that use an id again, or send none, have answers that cannot be told
+// apart by their id.
+TEST_P(repeated_id, does_not_take_the_refusal_of_the_request_before)
+{
+    std::atomic<unsigned> count = 0;
+    const std::string refusal = empty_answer(503, GetParam().id, not_executed);
+    std::function<std::size_t()> connections;
+    scripted_upstream faulty(
+        [&](const std::string&) -> scripted_answer
+        {
+            if (count++ == 0)
+                return {refusal};
+            return {
+                .bytes = connections() == 1 ? refusal : "",
+                .pieces = {whole_answer(200, GetParam().id, "end of answer")},
+                .pause = milliseconds(100)};
+        });
+    connections = [&]
+    {
+        return faulty.connections();
+    };
+    scripted_upstream other(
+        [&](const std::string&) -> scripted_answer
+        { return {whole_answer(200, GetParam().id, "end of answer")}; });
+    add_upstream("i-1", faulty.address(), "desk");
+    start();
+    ASSERT_EQ(status_of(fetch(request("/once/x", GetParam().id), "\r\n\r\n")),
+              "503");
+    scripted_caller c(gateway_->address());
+    c.send(request("/once/x", GetParam().id));
+    std::this_thread::sleep_for(milliseconds(40));
+    add_upstream("i-2", other.address(), "desk");
+    EXPECT_EQ(status_of(c.read_until("end of answer", seconds(1))), "200");
+    EXPECT_EQ(faulty.heads().size(), 2U);
+    EXPECT_EQ(other.heads().size(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(ids, repeated_id,
+                         testing::Values(same_id_case{"same", "77"},
+                                         same_id_case{"none", ""}),
+                         [](const auto& it) { return it.param.name; });
+
 struct kept_case
 {
     const char* name;
