Calls: answer 502 for a refusal that the upstream does not state

What callers saw: an upstream's 503, 429 or 408 without Not-Executed was passed on to the caller of a non-idempotent request. Callers take these statuses for "not run, try again", although the upstream may have run the request.

Cause: without the field the answer counted as an answer to an executed request and was delivered unchanged, whatever its status.

Change: such an answer counts as lost. Requests that may be repeated go to another upstream, the others are answered 502. A 421 states "not run" by itself, as before.

unproven_refusal failed before in 5 of 8 cases: 503, 429 and 408 passed on for /once/, 429 and 408 passed on without a second attempt for /safe/.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -39,6 +39,13 @@
     return {text.data(), text.size()};
 }
 
+/// Whether a caller may take the status for a statement that its request was
+/// not executed and never will be.
+bool means_not_executed(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 exchange::exchange(gateway_state& state, caller_request request,
@@ -282,14 +289,17 @@
 }
 
 /// Treats an unsigned success as lost, since it may be the end of an answer to
-/// another request.
+/// another request, and so a status that tells the caller that the request was
+/// not executed if the upstream does not state that.
 attempt_result
 exchange::classify_for_caller(const buffered_answer& answer) const
 {
     const attempt_result result = classify(answer);
     const bool is_unsigned =
         answer.info.status / 100 == 2 && !answer.info.is_signed;
-    return result == attempt_result::answered && is_unsigned
+    const bool is_answer = result == attempt_result::answered ||
+                           result == attempt_result::answered_error;
+    return is_answer && (is_unsigned || means_not_executed(answer.info.status))
                ? attempt_result::lost
                : result;
 }
--- a/tests/platform/gateway_late_answers_test.cpp
+++ b/tests/platform/gateway_late_answers_test.cpp
@@ -321,6 +321,54 @@
                   "", "502", 2}),
     [](const auto& it) { return it.param.name; });
 
+struct unproven_case
+{
+    const char* name;
+    unsigned status;
+    const char* path;
+    const char* told;
+    std::size_t sends;
+};
+
+class unproven_refusal : public gateway_test,
+                         public testing::WithParamInterface<unproven_case>
+{
+};
+
+// These statuses tell a caller that its request was not run, which an upstream
+// states by another field.
+TEST_P(unproven_refusal, is_not_passed_on_as_not_run)
+{
+    std::atomic<unsigned> count = 0;
+    const auto script = [&](const std::string& head) -> scripted_answer
+    {
+        const std::string id = field_of(head, "Attempt-Id");
+        if (count++ == 0)
+            return {empty_answer(GetParam().status, id)};
+        return {whole_answer(200, id, "end of answer")};
+    };
+    scripted_upstream a(script);
+    scripted_upstream b(script);
+    add_upstream("i-1", a.address(), "desk");
+    add_upstream("i-2", b.address(), "desk");
+    start();
+    EXPECT_EQ(status_of(fetch(request(GetParam().path, "1"), "\r\n\r\n")),
+              GetParam().told);
+    EXPECT_EQ(a.heads().size() + b.heads().size(), GetParam().sends);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    statuses, unproven_refusal,
+    testing::Values(unproven_case{"busy_once", 503, "/once/x", "502", 1},
+                    unproven_case{"limited_once", 429, "/once/x", "502", 1},
+                    unproven_case{"late_once", 408, "/once/x", "502", 1},
+                    unproven_case{"misdirected_once", 421, "/once/x", "200", 2},
+                    unproven_case{"busy_safe", 503, "/safe/x", "200", 2},
+                    unproven_case{"limited_safe", 429, "/safe/x", "200", 2},
+                    unproven_case{"late_safe", 408, "/safe/x", "200", 2},
+                    unproven_case{"failed_once", 500, "/once/x", "500", 1}),
+    [](const auto& it) { return it.param.name; });
+
 // The call that frees KV cache has no id and took a copy of a refusal for its
 // answer; its own answer then was left for the next request.
 TEST_F(gateway_test, leaves_no_answer_of_its_own_call_to_the_next_request)
