Test: answers that end with their connection, 17 cases

Answers without length or chunks are complete only at a clean end of the connection and between two events; a reset, a missing last chunk and an end inside an event count as broken off, and no connection is used again unless its answer had a length or ended its chunks. The scripted upstream can now reset a connection after it has sent an answer.

--- /dev/null
+++ b/tests/platform/gateway_answer_ends_test.cpp
@@ -0,0 +1,187 @@
+// Guards against answers that broke off and are passed on as complete, and
+// against connections that are used again after an answer without a length.
+#include "tests/platform/gateway_fixture.hpp"
+
+namespace poplar::gateway
+{
+namespace
+{
+
+enum class ending
+{
+    stays_open,
+    closes,
+    resets
+};
+
+/// The upstream sends a signed head with `fields`, then the parts of the body.
+struct ended_case
+{
+    const char* name;
+    const char* fields;
+    std::vector<std::string> body;
+    ending end;
+    bool is_complete;
+    std::size_t connections; ///< For two requests.
+};
+
+scripted_answer make_answer(const ended_case& c, const std::string& id)
+{
+    return {.bytes = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                     "\r\nResponse-Seal: s\r\n" + c.fields + "\r\n",
+            .closes = c.end == ending::closes,
+            .resets_after = c.end == ending::resets,
+            .pieces = c.body,
+            .pause = milliseconds(30)};
+}
+
+class ended_call : public gateway_test,
+                   public testing::WithParamInterface<ended_case>
+{
+};
+
+TEST_P(ended_call, is_answered_only_if_it_is_complete)
+{
+    scripted_upstream u(
+        [](const std::string& head)
+        { return make_answer(GetParam(), field_of(head, "Attempt-Id")); });
+    add_upstream("i-1", u.address(), "desk");
+    start();
+    for (const char* id : {"1", "2"})
+    {
+        const std::string answer =
+            fetch(request("/once/x", id),
+                  GetParam().is_complete ? "end of answer" : "\r\n\r\n");
+        EXPECT_EQ(status_of(answer), GetParam().is_complete ? "200" : "502");
+        EXPECT_EQ(answer.ends_with("the end of answer"),
+                  GetParam().is_complete);
+    }
+    EXPECT_EQ(u.connections(), GetParam().connections);
+}
+
+constexpr const char* chunked = "Transfer-Encoding: chunked\r\n";
+const std::string text = "the end of answer";
+
+INSTANTIATE_TEST_SUITE_P(
+    endings, ended_call,
+    testing::Values(
+        ended_case{"closed", "", {text}, ending::closes, true, 2},
+        ended_case{"closed_in_parts",
+                   "",
+                   {"the end ", "of answer"},
+                   ending::closes,
+                   true,
+                   2},
+        ended_case{"closed_kept",
+                   "Connection: keep-alive\r\nKeep-Alive: timeout=9\r\n",
+                   {text},
+                   ending::closes,
+                   true,
+                   2},
+        ended_case{"reset", "", {text, ""}, ending::resets, false, 2},
+        ended_case{"length",
+                   "Content-Length: 17\r\n",
+                   {text},
+                   ending::stays_open,
+                   true,
+                   1},
+        ended_case{"short",
+                   "Content-Length: 18\r\n",
+                   {text},
+                   ending::closes,
+                   false,
+                   2},
+        ended_case{"chunks",
+                   chunked,
+                   {chunk(text), "0\r\n\r\n"},
+                   ending::stays_open,
+                   true,
+                   1},
+        ended_case{
+            "no_last_chunk", chunked, {chunk(text)}, ending::closes, false, 2},
+        ended_case{"no_end_of_trailer",
+                   chunked,
+                   {chunk(text), "0\r\n"},
+                   ending::closes,
+                   false,
+                   2}),
+    [](const auto& it) { return it.param.name; });
+
+class ended_stream : public gateway_test,
+                     public testing::WithParamInterface<ended_case>
+{
+};
+
+TEST_P(ended_stream, is_complete_only_at_a_clean_end_between_events)
+{
+    scripted_upstream u(
+        [](const std::string& head) -> scripted_answer
+        {
+            if (head.starts_with("GET /kv-list"))
+                return {.bytes = whole_answer(404, "", ""), .closes = true};
+            return make_answer(GetParam(), field_of(head, "Attempt-Id"));
+        });
+    add_upstream("i-1", u.address(), "writers", "decode");
+    start();
+    while (u.heads().empty())
+        std::this_thread::sleep_for(milliseconds(5));
+    const std::size_t own_connections = u.connections();
+    for (const char* id : {"1", "2"})
+    {
+        scripted_caller c(gateway_->address());
+        c.send(prompt_request(id));
+        const std::string answer = c.read_until("\r\n0\r\n\r\n");
+        EXPECT_NE(answer.find("id: 2\n\n"), std::string::npos);
+        EXPECT_EQ(answer.ends_with("\r\n0\r\n\r\n"), GetParam().is_complete);
+        EXPECT_EQ(answer.find("id: 3"), std::string::npos);
+    }
+    EXPECT_EQ(u.connections() - own_connections, GetParam().connections);
+}
+
+const std::string events = "id: 1\n\nid: 2\n\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    endings, ended_stream,
+    testing::Values(ended_case{"closed", "", {events}, ending::closes, true, 2},
+                    ended_case{"closed_in_an_event",
+                               "",
+                               {events, "id: 3\nda"},
+                               ending::closes,
+                               false,
+                               2},
+                    ended_case{"closed_in_a_line",
+                               "",
+                               {events, "id: 3\n"},
+                               ending::closes,
+                               false,
+                               2},
+                    ended_case{
+                        "reset", "", {events, ""}, ending::resets, false, 2},
+                    ended_case{"chunks",
+                               chunked,
+                               {chunk(events), "0\r\n\r\n"},
+                               ending::stays_open,
+                               true,
+                               1},
+                    ended_case{"no_last_chunk",
+                               chunked,
+                               {chunk(events)},
+                               ending::closes,
+                               false,
+                               2},
+                    ended_case{"last_chunk_in_an_event",
+                               chunked,
+                               {chunk(events + "id: 3\nda"), "0\r\n\r\n"},
+                               ending::stays_open,
+                               false,
+                               1},
+                    ended_case{"reset_chunks",
+                               chunked,
+                               {chunk(events), ""},
+                               ending::resets,
+                               false,
+                               2}),
+    [](const auto& it) { return it.param.name; });
+
+} // namespace
+} // namespace poplar::gateway
--- a/tests/platform/scripted_upstream.cpp
+++ b/tests/platform/scripted_upstream.cpp
@@ -160,15 +160,17 @@
             ++abandoned_connections_;
             break;
         }
-        if (answer.resets)
+        if (answer.resets || answer.resets_after)
         {
             const linger reset_on_close{1, 0};
             setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset_on_close,
                        sizeof reset_on_close);
-            break;
         }
+        if (answer.resets)
+            break;
         ::send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
-        if (!send_pieces(socket, answer) || answer.closes)
+        if (!send_pieces(socket, answer) || answer.closes ||
+            answer.resets_after)
             break;
     }
     ::close(socket);
--- a/tests/platform/scripted_upstream.hpp
+++ b/tests/platform/scripted_upstream.hpp
@@ -19,8 +19,9 @@
 {
     std::string bytes;
     bool closes = false;
-    bool resets = false;
-    duration delay{}; ///< Time before `bytes` are sent.
+    bool resets = false;       ///< Without sending anything.
+    bool resets_after = false; ///< After all pieces were sent.
+    duration delay{};          ///< Time before `bytes` are sent.
     /// Sent after `bytes`, each one after `pause`.
     std::vector<std::string> pieces;
     duration pause{};
