HTTP client: close a connection after an answer with an error status

What callers saw: the agent's calls to its engine or service could take a late copy of an earlier refusal on a kept connection for their own answer. The agent then reports "refused, not run" (stream.cpp: 409, 429, 503) for a stream that the engine runs, and the entry may send it to a second engine. The own answer could be left for the next request.

Cause: answers of engines and services carry no id, and libcurl reuses a connection after any answer of known length. It notices a copy only if it arrives before the next request is sent.

Change: a status of 400 or above forbids the reuse of its connection. Error answers cost a new connection; successes keep theirs.

http_client_reuse_test failed before in 6 of 7 cases: the second request got the status of the first (503, 429, 409, 400) instead of 200. All 7 pass now, with net_test (17), agent_test (20) and agent_calls_test (6).

Ruled out: orders and calls with a key use new connections already.

--- a/net/transfer.cpp
+++ b/net/transfer.cpp
@@ -16,6 +16,8 @@
     curl_easy_setopt(handle, option, value);
 }
 
+constexpr std::string_view first_error_status = "400";
+
 /// Methods that may be repeated without effect (RFC 9110, 9.2.1).
 bool is_safe_method(std::string_view method)
 {
@@ -140,9 +142,8 @@
 
 void transfer::add_header_line(std::string_view line)
 {
-    // A status line starts the headers again, for example after "100 Continue".
     if (line.starts_with("HTTP/"))
-        return result_.response.headers.clear();
+        return begin_headers(line);
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
         return;
@@ -150,6 +151,19 @@
         {trim(line.substr(0, colon)), trim(line.substr(colon + 1))});
 }
 
+/// A status line starts the headers again, for example after "100 Continue".
+void transfer::begin_headers(std::string_view status_line)
+{
+    result_.response.headers.clear();
+    // A faulty server may write a refusal once more. As answers carry no id, it
+    // would be taken for the answer to the next request of the connection.
+    const std::size_t space = status_line.find(' ');
+    const bool is_error = space != std::string_view::npos &&
+                          status_line.substr(space + 1) >= first_error_status;
+    if (is_error)
+        set_option(handle_, CURLOPT_FORBID_REUSE, 1L);
+}
+
 std::size_t transfer::on_body(char* data, std::size_t size, std::size_t count,
                               void* cls)
 {
--- a/net/transfer.hpp
+++ b/net/transfer.hpp
@@ -51,6 +51,7 @@
     void set_method();
     void set_headers();
     void add_header_line(std::string_view line);
+    void begin_headers(std::string_view status_line);
     client_failure classify(CURLcode code) const;
 
     const exchange_number number_;
