--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -40,6 +40,13 @@
     return {text.data(), text.size()};
 }
 
+/// Whether a caller may take the status for a statement that its request was
+/// not executed and never will be.
+bool means_not_executed(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 exchange::exchange(gateway_state& state, caller_request request,
@@ -159,6 +166,7 @@
     c.head = platform::encode_request(request_.head, options);
     c.body = request_.body;
     c.id = info_.id;
+    c.needs_new_connection = info_.id.empty();
     c.timeout = options.remaining_time + answer_margin;
     if (!history_.is_repeatable && !options.prefill_only)
         c.max_idle = max_idle_unrepeatable;
@@ -286,14 +294,17 @@
 }
 
 /// Treats an unsigned success as lost, since it may be the end of an answer to
-/// another request.
+/// another request, and so a status that tells the caller that the request was
+/// not executed if the upstream does not state that.
 attempt_result
 exchange::classify_for_caller(const buffered_answer& answer) const
 {
     const attempt_result result = classify(answer);
     const bool is_unsigned =
         answer.info.status / 100 == 2 && !answer.info.is_signed;
-    return result == attempt_result::answered && is_unsigned
+    const bool is_answer = result == attempt_result::answered ||
+                           result == attempt_result::answered_error;
+    return is_answer && (is_unsigned || means_not_executed(answer.info.status))
                ? attempt_result::lost
                : result;
 }
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -55,6 +55,9 @@
     duration connect_timeout{std::chrono::milliseconds(400)};
     /// Longest idle time of a pooled connection that may carry the request.
     duration max_idle{std::chrono::hours(1)};
+    /// For a request without id, whose answer could not be told from a late
+    /// answer to an earlier request of a pooled connection.
+    bool needs_new_connection = false;
     call_hooks hooks;
 };
 
@@ -117,6 +120,8 @@
     asio::awaitable<call_status> read_head();
     asio::awaitable<call_status> skip_body();
     call_status status_of(const error_code& ec);
+    /// Whether the answer may belong to an earlier request of the connection.
+    bool may_be_late_answer() const;
     bool is_reusable() const;
 
     connection_pool& pool_;
@@ -132,6 +137,8 @@
     bool is_stalled_ = false;
     bool is_interrupted_ = false;
     bool is_complete_ = false;
+    /// An answer to another request was skipped.
+    bool has_foreign_answer_ = false;
 };
 
 /// Points `pointer` to a call for the duration of a scope.
