Streams: suspended attempts in a file of their own

The first check of a silent engine comes when its time without an event has passed, not after 100 ms; no other change.

--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -115,6 +115,7 @@
     asio::awaitable<call_status>
     forward_events(const upstream& u, upstream_call& call,
                    const std::function<void()>& on_event);
+    duration silence_limit() const;
     /// Interrupts the call if its engine is silent and another attempt may
     /// follow; returns the time until the next check.
     duration check_silence(const upstream& u, upstream_call& call);
--- /dev/null
+++ b/gateway/exchange_suspension.cpp
@@ -0,0 +1,102 @@
+#include "gateway/exchange.hpp"
+#include "gateway/interval_timer.hpp"
+#include "gateway/load_guard.hpp"
+#include "observe/log.hpp"
+
+namespace poplar::gateway
+{
+
+namespace
+{
+
+using observe::event;
+using std::chrono::milliseconds;
+
+/// A stream without an event for this share of the caller's patience is tried
+/// at another engine; the rest is reserved for that engine's first event.
+constexpr double stalled_patience_fraction = 0.75;
+/// Interval of checks whether a silent stream may be tried elsewhere.
+constexpr duration silence_check_interval = milliseconds(100);
+
+} // namespace
+
+/// Time without an event after which a stream may be tried elsewhere.
+duration exchange::silence_limit() const
+{
+    return policy::from_seconds(policy::seconds(patience()) *
+                                stalled_patience_fraction);
+}
+
+/// Bytes of an incomplete event do not count as progress, since a failing
+/// engine may send a byte now and then.
+duration exchange::check_silence(const upstream& u, upstream_call& call)
+{
+    const duration limit = silence_limit();
+    const duration silent = now() - last_progress_at_;
+    if (silent < limit)
+        return limit - silent;
+    if (may_give_up(u, false) && (reserved_retries_ > 0 || reserve_retry()))
+        call.interrupt();
+    return silence_check_interval;
+}
+
+void exchange::suspend(const upstream_ptr& u,
+                       std::unique_ptr<upstream_call> call)
+{
+    suspended_ = std::make_shared<suspended_attempt>();
+    suspended_->engine = u;
+    suspended_->call = std::move(call);
+    suspended_->events = events_;
+    suspended_->call->notify_when_readable(
+        [this, attempt = std::weak_ptr(suspended_)]
+        {
+            if (const auto it = attempt.lock())
+                on_suspended_readable(*it);
+        });
+}
+
+/// Ends the attempt at the other engine.
+void exchange::on_suspended_readable(const suspended_attempt& attempt)
+{
+    if (suspended_.get() != &attempt)
+        return;
+    suspended_->is_speaking = true;
+    if (call_)
+        call_->give_up_stalled();
+}
+
+asio::awaitable<exchange::stream_step> exchange::continue_suspended()
+{
+    const std::shared_ptr<suspended_attempt> attempt = std::move(suspended_);
+    const upstream_ptr& u = attempt->engine;
+    upstream_call& call = *attempt->call;
+    observe::log(event::gateway_stream_continued,
+                 {{"request", info_.id.value},
+                  {"upstream", u->record.id.value},
+                  {"after_event", attempt->events.last_id().value_or(0)}});
+    events_ = attempt->events;
+    last_upstream_ = u->record.id.value;
+    load_guard decode_guard(u, {.in_flight = 1});
+    scoped_current_call current(call_, call);
+    // Counted when the attempt was suspended.
+    --history_.attempts;
+    --history_.executions;
+    const call_status status = co_await forward_events(*u, call, [] {});
+    if (caller_disconnected_)
+        co_return stream_step::replan;
+    if (status == call_status::interrupted)
+        suspend(u, std::move(attempt->call));
+    stream_outcome end;
+    end.result = result_of(status);
+    end.is_complete = status == call_status::ok;
+    const next_step step = finish_attempt(end.result, u, "");
+    if (step == next_step::retry)
+    {
+        events_.restart();
+        co_return stream_step::replan;
+    }
+    co_await finish_stream(std::move(end), step);
+    co_return stream_step::finished;
+}
+
+} // namespace poplar::gateway
