Streams: a silent engine ends the attempt at another only with an event

What callers saw: a stream whose engine fell silent and then broke off, or sent bytes of an event that it never completed, was cut although another engine was about to take over. Cause: the connection of a suspended attempt became readable with any byte, with its end and with its reset, also with one by the kernel's probes 2 s after the last byte of an engine that cannot be reached. Each ended the attempt at the other engine and used up the executions of the route. Change: what has arrived is read and parsed. An event or the end of the stream makes the engine speak again, a broken connection ends the suspended attempt, anything else is waited for.

--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -80,6 +80,7 @@
         upstream_ptr engine;
         std::unique_ptr<upstream_call> call;
         event_stream events;
+        std::string received;     ///< Events that were not forwarded yet.
         bool is_speaking = false; ///< The engine goes on.
     };
     /// Result of an attempt to decode a stream.
@@ -122,7 +123,9 @@
     asio::awaitable<void> forward_piece(upstream_call& call,
                                         std::string events);
     void suspend(const upstream_ptr& u, std::unique_ptr<upstream_call> call);
-    void on_suspended_readable(const suspended_attempt& attempt);
+    void await_suspended();
+    void on_suspended_readable();
+    void drop_suspended();
     bool is_suspended_speaking() const
     {
         return suspended_ && suspended_->is_speaking;
--- a/gateway/exchange_suspension.cpp
+++ b/gateway/exchange_suspension.cpp
@@ -47,24 +47,53 @@
     suspended_->engine = u;
     suspended_->call = std::move(call);
     suspended_->events = events_;
+    await_suspended();
+}
+
+void exchange::await_suspended()
+{
     suspended_->call->notify_when_readable(
         [this, attempt = std::weak_ptr(suspended_)]
         {
-            if (const auto it = attempt.lock())
-                on_suspended_readable(*it);
+            if (const auto it = attempt.lock(); it && it == suspended_)
+                on_suspended_readable();
         });
 }
 
-/// Ends the attempt at the other engine.
-void exchange::on_suspended_readable(const suspended_attempt& attempt)
+/// Ends the attempt at the other engine once the silent one has sent an event
+/// or the end of the stream. Bytes of an incomplete event are no reason to end
+/// it, nor is a connection that breaks off.
+void exchange::on_suspended_readable()
 {
-    if (suspended_.get() != &attempt)
-        return;
-    suspended_->is_speaking = true;
-    if (call_)
+    suspended_attempt& it = *suspended_;
+    std::string bytes;
+    bool is_end = false;
+    const call_status status = it.call->read_available(bytes, is_end);
+    it.received += it.events.append(bytes);
+    const std::string& partial = it.events.partial_event();
+    const bool is_broken = status != call_status::ok ||
+                           partial.size() > max_event_size ||
+                           (is_end && !partial.empty());
+    if (is_broken)
+        return drop_suspended();
+    it.is_speaking = !it.received.empty() || is_end;
+    if (!it.is_speaking)
+        await_suspended();
+    else if (call_)
         call_->give_up_stalled();
 }
 
+void exchange::drop_suspended()
+{
+    observe::log(event::gateway_try_failed,
+                 {{"request", info_.id.value},
+                  {"upstream", suspended_->engine->record.id.value},
+                  {"result", to_string(attempt_result::lost)},
+                  {"failure", suspended_->call->failure()},
+                  {"left_ms", to_milliseconds(remaining_time())}});
+    suspended_.reset();
+}
+
 asio::awaitable<exchange::stream_step> exchange::continue_suspended()
 {
     const std::shared_ptr<suspended_attempt> attempt = std::move(suspended_);
@@ -81,6 +110,11 @@
     // Counted when the attempt was suspended.
     --history_.attempts;
     --history_.executions;
+    if (!attempt->received.empty())
+    {
+        last_progress_at_ = now();
+        co_await forward_piece(call, std::move(attempt->received));
+    }
     const call_status status = co_await forward_events(*u, call, [] {});
     if (caller_disconnected_)
         co_return stream_step::replan;
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -7,7 +7,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <limits>
+#include <sys/socket.h>
 #include <utility>
 
 namespace poplar::gateway
@@ -288,6 +290,51 @@
     co_return status_of(ec);
 }
 
+call_status upstream_call::read_available(std::string& body, bool& is_end)
+{
+    error_code ec = receive_available();
+    if (!ec)
+        ec = parse_received(body);
+    is_end = !ec && parser_->is_done();
+    is_complete_ = is_end;
+    return status_of(ec);
+}
+
+error_code upstream_call::receive_available()
+{
+    error_code ec;
+    const auto space = connection_->buffer.prepare(read_size);
+    const auto n = recv(connection_->stream.socket().native_handle(),
+                        space.data(), space.size(), MSG_DONTWAIT);
+    if (n > 0)
+        connection_->buffer.commit(std::size_t(n));
+    else if (n == 0)
+        parser_->put_eof(ec);
+    else if (errno != EAGAIN && errno != EWOULDBLOCK)
+        ec.assign(errno, boost::system::system_category());
+    return ec;
+}
+
+error_code upstream_call::parse_received(std::string& body)
+{
+    error_code ec;
+    auto& buffer = connection_->buffer;
+    while (!ec && buffer.size() > 0 && !parser_->is_done())
+    {
+        const std::size_t before = body.size();
+        body.resize(before + read_size);
+        auto& target = parser_->get().body();
+        target.data = body.data() + before;
+        target.size = read_size;
+        target.more = true;
+        buffer.consume(parser_->put(buffer.data(), ec));
+        body.resize(body.size() - target.size);
+        if (ec == http::error::need_buffer)
+            ec = {};
+    }
+    return ec == http::error::need_more ? error_code() : ec;
+}
+
 asio::awaitable<call_status> upstream_call::read_all(std::string& body,
                                                      std::size_t max_size)
 {
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -82,6 +82,8 @@
     /// Appends the body bytes that have arrived; sets `is_end` at the end of
     /// the body.
     asio::awaitable<call_status> read_some(std::string& body, bool& is_end);
+    /// Like `read_some`, but does not wait; not while a read is in progress.
+    call_status read_available(std::string& body, bool& is_end);
     /// Reads the whole body; returns `broken` if it exceeds `max_size` bytes.
     asio::awaitable<call_status> read_all(std::string& body,
                                           std::size_t max_size);
@@ -116,6 +118,10 @@
     asio::awaitable<call_status> read_head();
     asio::awaitable<call_status> skip_body();
     call_status status_of(const error_code& ec);
+    /// Receives bytes without waiting; reports the end of the connection to the
+    /// parser.
+    error_code receive_available();
+    error_code parse_received(std::string& body);
     bool is_reusable() const;
 
     connection_pool& pool_;
