Streams: an event of an attempt that has been ended changes nothing

What callers saw: a stream was cut when its silent engine went on just as the other engine began to answer. Cause: the call to the other engine had been closed, but its first event had been read before. Forwarding that event also closed the call to the engine that had gone on, so that neither was left. Change: bytes of an attempt that has been ended are not forwarded. Ruled out: the same with both handlers in the other order; there the event of the other engine takes over the stream. Test and fix in one commit.

--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -369,6 +369,9 @@
         const call_status status = co_await call.read_some(bytes, is_end);
         if (status != call_status::ok)
             co_return status;
+        // A silent engine has gone on, so this call has been closed.
+        if (is_suspended_speaking())
+            co_return call_status::stalled;
         std::string events = events_.append(bytes);
         if (events_.partial_event().size() > max_event_size)
             co_return call_status::broken;
--- a/tests/platform/gateway_suspended_test.cpp
+++ b/tests/platform/gateway_suspended_test.cpp
@@ -1,7 +1,12 @@
 // Guards against streams that are cut because the wrong one of two engines is
 // kept: one that has fallen silent, or one that is about to take over.
+#include "gateway/exchange.hpp"
+#include "platform/objects.hpp"
 #include "tests/platform/gateway_fixture.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace poplar::gateway
 {
 namespace
@@ -108,5 +113,123 @@
                                         milliseconds(400), false}),
     [](const auto& it) { return it.param.name; });
 
+/// Stores what an exchange writes.
+class recorded_answer : public answer_writer
+{
+public:
+    asio::awaitable<void> send(answer_head, std::string body) override
+    {
+        text += body;
+        co_return;
+    }
+    asio::awaitable<void> begin(answer_head) override
+    {
+        co_return;
+    }
+    asio::awaitable<void> write(std::string_view bytes) override
+    {
+        text += bytes;
+        co_return;
+    }
+    asio::awaitable<void> end() override
+    {
+        text += "end";
+        co_return;
+    }
+    void abort() override
+    {
+        text += "abort";
+    }
+
+    std::string text;
+};
+
+/// One exchange on a loop that the test runs.
+class held_loop : public testing::Test
+{
+protected:
+    held_loop()
+    {
+        auto r = std::make_shared<routing>();
+        r->config =
+            platform::decode_configuration(slow_configuration(1).dump());
+        r->table = route_table(r->config);
+        state_.upstreams.configure(r->config);
+        state_.current_routing = r;
+    }
+
+    static gateway_settings settings()
+    {
+        gateway_settings s;
+        s.peer = {"127.0.0.1", 0};
+        return s;
+    }
+
+    void add_engine(const std::string& id, const scripted_upstream& u)
+    {
+        const json entry{
+            {"service", "writers"}, {"address", to_string(u.address())},
+            {"zone", "z"},          {"slots", 8},
+            {"state", "ready"},     {"born", 1},
+            {"stage", "decode"}};
+        state_.upstreams.apply(platform::decode_upstream(
+            object_key("servers/" + id), entry.dump()));
+    }
+
+    static caller_request make_request()
+    {
+        caller_request r;
+        r.head.version(11);
+        r.head.method(http::verb::get);
+        r.head.target("/stream/x");
+        r.head.set("Host", "a.example");
+        r.head.set("Attempt-Id", "7");
+        r.head.set("Deadline-Ms", "3000");
+        r.head.set("Model", "m");
+        r.head.set("Token-Count", "100,20");
+        r.head.set("Prompt-Prefix", "aa:60,bb:40");
+        r.body = std::make_shared<std::string>();
+        r.received = now();
+        return r;
+    }
+
+    asio::io_context loop_;
+    gateway_state state_{loop_, settings(), {}};
+    recorded_answer answer_;
+};
+
+// Both engines had sent an event before the gateway handled either; the calls
+// to both were closed.
+TEST_F(held_loop, goes_on_when_both_engines_have_spoken)
+{
+    const std::string rest = chunk("id: 3\n\n") + "0\r\n\r\n";
+    const scripted_upstream silent(
+        [&rest](const std::string& head)
+        {
+            return silent_stream(head, {chunk("id: 2\n\n") + rest},
+                                 suspended_after + milliseconds(600));
+        });
+    const scripted_upstream other(
+        [&rest](const std::string& head)
+        {
+            scripted_answer a = silent_stream(head, {rest}, milliseconds(800));
+            a.delay = a.pieces.empty() ? duration{} : milliseconds(450);
+            a.bytes = a.pieces.empty() ? a.bytes
+                                       : stream_head("7") + chunk("id: 2\n\n");
+            return a;
+        });
+    add_engine("i-1", silent);
+    exchange e(state_, make_request(), answer_);
+    asio::co_spawn(loop_, e.run(), asio::detached);
+    loop_.run_for(milliseconds(500));
+    EXPECT_EQ(answer_.text, "id: 1\n\n");
+    add_engine("i-2", other);
+    loop_.run_for(suspended_after - milliseconds(300));
+    EXPECT_EQ(other.heads().size(), 1U);
+    std::this_thread::sleep_for(milliseconds(800));
+    loop_.run_for(seconds(1));
+    EXPECT_EQ(answer_.text, "id: 1\n\nid: 2\n\nid: 3\n\nend");
+}
+
 } // namespace
 } // namespace poplar::gateway
