Streams: giving up a split decode call takes the retry of its prefill, too

What callers saw: 502 for a request whose decode engine was slow and sound. Cause: a decode call that later ones had overtaken was given up for one retry of the budget. Another attempt also repeats the prefill, which takes a second one; when others had used it in the meantime, nothing was left but to fail. Change: both retries are taken before the call is given up. One more stays in the budget, as before.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -25,8 +25,8 @@
 constexpr duration max_idle_unrepeatable = milliseconds(1000);
 /// A request with less remaining time is not retried.
 constexpr duration min_attempt_time = milliseconds(40);
-/// Retry budget that must be available for a stalled request to be retried.
-constexpr double min_retries_for_stalled = 2;
+/// Retries that remain in the budget when a stalled request is retried.
+constexpr double reserve_for_failures = 1;
 /// Lower bound of the delay after which a refused caller is asked to retry,
 /// except in refusals for overload.
 constexpr duration min_retry_after = milliseconds(100);
@@ -198,7 +198,8 @@
     ++(prefill_only ? after.prefill_calls : after.executions);
     after.has_time = remaining_time() > min_attempt_time;
     const bool has_budget =
-        fleet_->retries.available() >= min_retries_for_stalled;
+        fleet_->retries.available() >=
+        retries_for_another(prefill_only) + reserve_for_failures;
     if (prefill_only)
         return has_budget && after.attempts < max_total_attempts &&
                may_prefill_again(after) && has_alternative(u);
@@ -222,12 +223,18 @@
         .has_value();
 }
 
-bool exchange::reserve_retry()
+/// The prefill of a split request is repeated with its decode call.
+unsigned exchange::retries_for_another(bool prefill_only) const
 {
-    if (!fleet_->retries.try_retry())
-        return false;
-    ++reserved_retries_;
-    return true;
+    return !prefill_only && history_.prefill_calls > 0 ? 2 : 1;
+}
+
+bool exchange::reserve_retries(bool prefill_only)
+{
+    const unsigned n = retries_for_another(prefill_only);
+    while (reserved_retries_ < n && fleet_->retries.try_retry())
+        ++reserved_retries_;
+    return reserved_retries_ >= n;
 }
 
 bool exchange::take_retry()
@@ -241,7 +248,8 @@
 void exchange::give_up_stalled(const upstream& u, upstream_call& call,
                                bool prefill_only)
 {
-    if (call.is_given_up() || !may_give_up(u, prefill_only) || !reserve_retry())
+    if (call.is_given_up() || !may_give_up(u, prefill_only) ||
+        !reserve_retries(prefill_only))
         return;
     observe::log(event::gateway_try_stalled,
                  {{"request", info_.id.value},
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -166,10 +166,12 @@
     /// Whether another attempt may follow if the current one is given up.
     bool may_give_up(const upstream& u, bool prefill_only) const;
     bool has_alternative(const upstream& u) const;
-    /// Takes a retry from the budget before an attempt is given up; the next
-    /// `take_retry` uses it. Calls that stall together would otherwise all be
-    /// given up for the same retry.
-    bool reserve_retry();
+    /// Retries that another attempt consumes if the current one is given up.
+    unsigned retries_for_another(bool prefill_only) const;
+    /// Takes retries from the budget before an attempt is given up; the next
+    /// calls of `take_retry` use them. Calls that stall together would
+    /// otherwise all be given up for the same retry.
+    bool reserve_retries(bool prefill_only);
     bool take_retry();
     /// How long callers of the route wait for an event before they disconnect.
     duration patience() const;
--- a/gateway/exchange_suspension.cpp
+++ b/gateway/exchange_suspension.cpp
@@ -35,7 +35,7 @@
     const duration silent = now() - last_progress_at_;
     if (silent < limit)
         return limit - silent;
-    if (may_give_up(u, false) && (reserved_retries_ > 0 || reserve_retry()))
+    if (may_give_up(u, false) && reserve_retries(false))
         call.interrupt();
     return silence_check_interval;
 }
--- a/tests/platform/gateway_silence_test.cpp
+++ b/tests/platform/gateway_silence_test.cpp
@@ -163,5 +163,60 @@
                                  other_upstream::serves, framing::chunked, 6}),
     [](const auto& it) { return it.param.name; });
 
+class overtaken_decodes : public gateway_test
+{
+protected:
+    static std::string long_prompt(const std::string& id)
+    {
+        return request("/stream/x", id,
+                       "Model: m\r\nToken-Count: 6000,20\r\n"
+                       "Prompt-Prefix: aa" +
+                           id + ":4000,bb" + id + ":2000\r\n");
+    }
+
+    static scripted_answer answer(const std::string& head, duration delay)
+    {
+        const std::string id = field_of(head, "Attempt-Id");
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        if (field_of(head, "Serving-Stage") == "prefill")
+            return {whole_answer(200, id, R"({"kvHandle":"h"})")};
+        return {.bytes = stream_head(id) + chunk("id: 1\n\n") + "0\r\n\r\n",
+                .delay = delay};
+    }
+};
+
+// A decode call was given up for one retry, but its prefill needs another one,
+// which was no longer there: the caller got 502.
+TEST_F(overtaken_decodes, are_answered_when_no_retry_is_left_for_the_prefill)
+{
+    scripted_upstream reader([](const std::string& head)
+                             { return answer(head, {}); });
+    scripted_upstream slow(
+        [](const std::string& head)
+        {
+            const bool is_later = field_of(head, "Attempt-Id") == "9";
+            return answer(head, milliseconds(is_later ? 300 : 1200));
+        });
+    scripted_upstream other([](const std::string& head)
+                            { return answer(head, {}); });
+    add_upstream("i-1", slow.address(), "writers", "decode");
+    add_upstream("read", reader.address(), "writers", "prefill");
+    start();
+    std::list<scripted_caller> callers;
+    for (int i = 0; i < 3; ++i)
+    {
+        callers.emplace_back(gateway_->address());
+        callers.back().send(long_prompt(std::to_string(i)));
+    }
+    std::this_thread::sleep_for(milliseconds(450));
+    callers.emplace_back(gateway_->address());
+    callers.back().send(long_prompt("9"));
+    std::this_thread::sleep_for(milliseconds(150));
+    add_upstream("i-2", other.address(), "writers", "decode");
+    for (scripted_caller& it : callers)
+        EXPECT_EQ(status_of(it.read_until("0\r\n\r\n", seconds(2))), "200");
+}
+
 } // namespace
 } // namespace poplar::gateway
