--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -80,6 +80,7 @@
         upstream_ptr engine;
         std::unique_ptr<upstream_call> call;
         event_stream events;
+        std::string received;     ///< Events that were not forwarded yet.
         bool is_speaking = false; ///< The engine goes on.
     };
     /// Result of an attempt to decode a stream.
@@ -119,13 +120,16 @@
     asio::awaitable<call_status>
     forward_events(const upstream& u, upstream_call& call,
                    const std::function<void()>& on_event);
+    duration silence_limit() const;
     /// Interrupts the call if its engine is silent and another attempt may
     /// follow; returns the time until the next check.
     duration check_silence(const upstream& u, upstream_call& call);
     asio::awaitable<void> forward_piece(upstream_call& call,
                                         std::string events);
     void suspend(const upstream_ptr& u, std::unique_ptr<upstream_call> call);
-    void on_suspended_readable(const suspended_attempt& attempt);
+    void await_suspended();
+    void on_suspended_readable();
+    void drop_suspended();
     bool is_suspended_speaking() const
     {
         return suspended_ && suspended_->is_speaking;
@@ -166,10 +170,12 @@
     /// Whether another attempt may follow if the current one is given up.
     bool may_give_up(const upstream& u, bool prefill_only) const;
     bool has_alternative(const upstream& u) const;
-    /// Takes a retry from the budget before an attempt is given up; the next
-    /// `take_retry` uses it. Calls that stall together would otherwise all be
-    /// given up for the same retry.
-    bool reserve_retry();
+    /// Retries that another attempt consumes if the current one is given up.
+    unsigned retries_for_another(bool prefill_only) const;
+    /// Takes retries from the budget before an attempt is given up; the next
+    /// calls of `take_retry` use them. Calls that stall together would
+    /// otherwise all be given up for the same retry.
+    bool reserve_retries(bool prefill_only);
     bool take_retry();
     /// How long callers of the route wait for an event before they disconnect.
     duration patience() const;
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -85,6 +85,8 @@
     /// Appends the body bytes that have arrived; sets `is_end` at the end of
     /// the body.
     asio::awaitable<call_status> read_some(std::string& body, bool& is_end);
+    /// Like `read_some`, but does not wait; not while a read is in progress.
+    call_status read_available(std::string& body, bool& is_end);
     /// Reads the whole body; returns `broken` if it exceeds `max_size` bytes.
     asio::awaitable<call_status> read_all(std::string& body,
                                           std::size_t max_size);
@@ -122,6 +124,10 @@
     call_status status_of(const error_code& ec);
     /// Whether the answer may belong to an earlier request of the connection.
     bool may_be_late_answer() const;
+    /// Receives bytes without waiting; reports the end of the connection to the
+    /// parser.
+    error_code receive_available();
+    error_code parse_received(std::string& body);
     bool is_reusable() const;
 
     connection_pool& pool_;
