Shutdown: answer the requests that are open at the drain limit

Callers saw: a request that was still open 7.3 s after SIGTERM, waiting for an upstream, a prefill or cached blocks, got a closed connection instead of 502 or 503. The log said `caller_left`.

Cause: close_sessions() waited 300 ms and closed all sessions that still had a request; nothing told the exchanges to give their answer before.

Change: the exchanges are told that the process ends. One whose answer has not begun gives up its call and has no time for another attempt: it answers 503 if it has not run and 502 if it may have. Streams that have begun go on until the sessions are closed. The sessions get 450 ms for that, longer than an attempt to connect, and 100 ms to end: 7.85 s after SIGTERM at the latest, where it was 7.9 s. Event 907 says `failed: shutting_down` where the shutdown closed the connection.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -73,6 +73,12 @@
     stream_.close();
 }
 
+void caller_session::end_request()
+{
+    if (exchange_)
+        exchange_->end_for_shutdown();
+}
+
 asio::awaitable<void> caller_session::run()
 {
     const auto self = shared_from_this();
--- a/gateway/caller_session.hpp
+++ b/gateway/caller_session.hpp
@@ -30,6 +30,8 @@
     }
     /// Aborts the request in progress and closes the connection.
     void close();
+    /// Has the request in progress answered as soon as possible.
+    void end_request();
 
     asio::awaitable<void> send(answer_head head, std::string body) override;
     asio::awaitable<void> begin(answer_head head) override;
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -72,6 +72,18 @@
         call_->cancel();
 }
 
+void exchange::end_for_shutdown()
+{
+    is_shutting_down_ = true;
+    if (answer_started_)
+        return;
+    deadline_ = now(); // No further attempt has time.
+    if (block_wait_)
+        block_wait_->cancel();
+    if (call_)
+        call_->give_up_stalled();
+}
+
 duration exchange::remaining_time() const
 {
     return std::max<duration>(deadline_ - now(), milliseconds(1));
@@ -370,7 +382,7 @@
             co_return co_await fail(result);
         }
     }
-    log_ended("caller_left", 0);
+    log_unanswered();
 }
 
 asio::awaitable<void> exchange::deliver(buffered_answer answer)
@@ -425,7 +437,17 @@
         out_.abort();
     else
         co_await out_.send(platform::make_failure(status, info_.id), "");
-    log_ended("failed: " + to_string(result), status);
+    log_ended("failed: " +
+                  (is_shutting_down_ ? "shutting_down" : to_string(result)),
+              status);
+}
+
+void exchange::log_unanswered()
+{
+    if (!is_shutting_down_)
+        return log_ended("caller_left", 0);
+    is_answer_cut_ = answer_started_;
+    log_ended("failed: shutting_down", 0);
 }
 
 void exchange::log_ended(const std::string& outcome, unsigned status)
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -9,6 +9,7 @@
 #include "gateway/state.hpp"
 #include "policy/engine_admission.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -42,6 +43,10 @@
     /// Cancels the work at upstreams, since the caller closed its connection.
     void on_caller_disconnected();
 
+    /// Sends the final answer as soon as possible, since the process is about
+    /// to end; an answer that has begun goes on.
+    void end_for_shutdown();
+
 private:
     /// What `serve_stream` does next.
     enum class stream_step
@@ -178,6 +183,8 @@
     void record_health(attempt_result result, upstream& u) const;
     void log_placed(const stream_placement& placement) const;
     void log_ended(const std::string& outcome, unsigned status);
+    /// Logs that the connection was closed before the end of the answer.
+    void log_unanswered();
 
     /// Tells the caller that the request was not executed; calls `fail` instead
     /// if it may have been.
@@ -208,9 +215,11 @@
     std::shared_ptr<suspended_attempt> suspended_;
     event_stream events_;
     unsigned block_waits_ = 0;
+    asio::steady_timer* block_wait_ = nullptr; ///< Wait in progress, if any.
     bool answer_started_ = false;
     bool is_answer_cut_ = false; ///< Ended after a part of the answer.
     bool caller_disconnected_ = false;
+    bool is_shutting_down_ = false;
     std::string last_upstream_;
     duration
         prefill_latency_{}; ///< From receipt to the end of prefill; 0: none.
--- a/gateway/exchange_prefill.cpp
+++ b/gateway/exchange_prefill.cpp
@@ -162,8 +162,10 @@
 {
     ++block_waits_;
     asio::steady_timer timer(state_.loop, policy::from_seconds(seconds));
-    error_code ec;
+    block_wait_ = &timer;
+    error_code ec; // Set when `end_for_shutdown` ends the wait.
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    block_wait_ = nullptr;
 }
 
 /// Frees KV cache that no decode engine has fetched.
@@ -179,4 +181,29 @@
                 asio::detached);
 }
 
+void exchange::log_placed(const stream_placement& placement) const
+{
+    const policy::placement_choice& first = placement.plan.prefill
+                                                ? *placement.plan.prefill
+                                                : placement.plan.decode;
+    observe::log(
+        event::gateway_request_placed,
+        {{"request", info_.id.value},
+         {"service", service_.value},
+         {"priority", route_->priority},
+         {"input", info_.engine_prompt->input.value},
+         {"uncached", first.uncached.value},
+         {"fetched", first.fetched.value},
+         {"fetched_from",
+          first.source ? fleet_->members[*first.source]->record.id.value : ""},
+         {"reader", placement.prefill_engine
+                        ? placement.prefill_engine->record.id.value
+                        : ""},
+         {"runner", placement.decode_engine->record.id.value},
+         {"holds", block_waits_},
+         {"wait_ms", std::int64_t(first.wait_seconds * 1000)},
+         {"read_ms", std::int64_t(first.total_seconds * 1000)},
+         {"left_ms", to_milliseconds(remaining_time())}});
+}
+
 } // namespace poplar::gateway
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -142,7 +142,7 @@
         if (step == stream_step::finished)
             co_return;
     }
-    log_ended("caller_left", 0);
+    log_unanswered();
 }
 
 asio::awaitable<exchange::stream_step>
@@ -160,6 +160,11 @@
 {
     if (is_suspended_speaking())
         co_return stream_step::finished;
+    if (is_shutting_down_ && !answer_started_)
+    {
+        co_await refuse("shutting_down");
+        co_return stream_step::finished;
+    }
     const auto plan = plan_engines();
     if (!plan)
     {
@@ -206,6 +211,11 @@
         release(placement.kv);
         co_return stream_step::finished;
     }
+    if (is_shutting_down_ && !answer_started_)
+    {
+        release(placement.kv);
+        co_return stream_step::replan; // Refused there.
+    }
     if (now() >= deadline_)
     {
         release(placement.kv);
@@ -487,29 +497,4 @@
     co_await out_.write(events);
 }
 
-void exchange::log_placed(const stream_placement& placement) const
-{
-    const policy::placement_choice& first = placement.plan.prefill
-                                                ? *placement.plan.prefill
-                                                : placement.plan.decode;
-    observe::log(
-        event::gateway_request_placed,
-        {{"request", info_.id.value},
-         {"service", service_.value},
-         {"priority", route_->priority},
-         {"input", info_.engine_prompt->input.value},
-         {"uncached", first.uncached.value},
-         {"fetched", first.fetched.value},
-         {"fetched_from",
-          first.source ? fleet_->members[*first.source]->record.id.value : ""},
-         {"reader", placement.prefill_engine
-                        ? placement.prefill_engine->record.id.value
-                        : ""},
-         {"runner", placement.decode_engine->record.id.value},
-         {"holds", block_waits_},
-         {"wait_ms", std::int64_t(first.wait_seconds * 1000)},
-         {"read_ms", std::int64_t(first.total_seconds * 1000)},
-         {"left_ms", to_milliseconds(remaining_time())}});
-}
-
 } // namespace poplar::gateway
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -25,8 +25,8 @@
     /// Opens the listening sockets and starts the threads; throws
     /// system_failure.
     gateway(const gateway_settings& settings, store::object_store& store);
-    /// Stops the threads and closes all connections; call `drain` first to let
-    /// open requests finish.
+    /// Answers open requests with a failure, stops the threads and closes all
+    /// connections; call `drain` first to let open requests finish.
     ~gateway();
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
@@ -70,6 +70,8 @@
     unsigned count_busy_sessions();
     /// Closes all sessions, so that none outlives the state that it uses.
     void close_sessions();
+    /// Accepts no further callers and has open requests answered at once.
+    void end_requests();
     /// Stops the watchers and the engine control, which may block on the store.
     void stop_store_work();
     std::size_t close_idle_sessions();
--- a/gateway/gateway_shutdown.cpp
+++ b/gateway/gateway_shutdown.cpp
@@ -12,9 +12,12 @@
 {
 
 constexpr duration drain_poll = std::chrono::milliseconds(50);
+/// Time for the last answers before all connections are closed. An attempt to
+/// connect to an upstream, which is not interrupted, takes up to 400 ms.
+constexpr duration last_answers_timeout = std::chrono::milliseconds(450);
 /// Time for closed sessions to end. They end as soon as the loop has run their
 /// handlers.
-constexpr duration close_timeout = std::chrono::milliseconds(300);
+constexpr duration close_timeout = std::chrono::milliseconds(100);
 constexpr duration close_poll = std::chrono::milliseconds(5);
 
 } // namespace
@@ -62,13 +65,13 @@
         .get();
 }
 
-/// Sessions with a request in progress get time to send their answer, such as
-/// the refusal of a request that has just been read, before they are closed.
+/// Open requests are answered, streams that have begun go on, and requests that
+/// have just been read are refused, for `last_answers_timeout`.
 void gateway::close_sessions()
 {
-    asio::post(loop_, asio::use_future([this] { callers_.close(); })).get();
+    asio::post(loop_, asio::use_future([this] { end_requests(); })).get();
     const mono_time began = now();
-    while (close_idle_sessions() > 0 && now() - began < close_timeout)
+    while (close_idle_sessions() > 0 && now() - began < last_answers_timeout)
         std::this_thread::sleep_for(close_poll);
     asio::post(loop_, asio::use_future(
                           [this]
@@ -77,10 +80,20 @@
                                   it->close();
                           }))
         .get();
-    while (close_idle_sessions() > 0 && now() - began < 2 * close_timeout)
+    const mono_time closed = now();
+    while (close_idle_sessions() > 0 && now() - closed < close_timeout)
         std::this_thread::sleep_for(close_poll);
 }
 
+void gateway::end_requests()
+{
+    callers_.close();
+    state_.is_draining = true;
+    state_.rejects_new_requests = true;
+    for (const auto& it : sessions_)
+        it->end_request();
+}
+
 void gateway::drain()
 {
     const mono_time began = now();
--- a/gateway/settings.hpp
+++ b/gateway/settings.hpp
@@ -41,7 +41,8 @@
     /// Time from "not ready" to the refusal of new requests, so that the load
     /// balancer detects the shutdown first.
     duration close_delay = std::chrono::milliseconds(2900);
-    /// Maximum time from SIGTERM until open requests are aborted.
+    /// Maximum time from SIGTERM until open requests are answered with a
+    /// failure; streams that have begun are cut a little later.
     duration drain_limit = std::chrono::milliseconds(7300);
     /// Least time between the orders to engines of two successive holders of
     /// the order lease; part of the time that others wait before taking over.
