--- a/tests/platform/gateway_drain_test.cpp
+++ b/tests/platform/gateway_drain_test.cpp
@@ -127,5 +127,105 @@
     EXPECT_EQ(requests_at(u), 1U);
 }
 
+enum class engine_fault
+{
+    none,
+    silence,   ///< Longer than three quarters of the callers' patience.
+    break_off, ///< Without the end of the stream.
+    removal    ///< Its entry is removed while it goes on.
+};
+
+struct open_stream_case
+{
+    const char* name;
+    engine_fault fault;
+    unsigned other_status; ///< Answer of the other engine; 0: there is none.
+};
+
+class open_stream : public gateway_test,
+                    public testing::WithParamInterface<open_stream_case>
+{
+protected:
+    /// The second event comes 1.7 s after the first one.
+    static scripted_answer stream_of(engine_fault fault,
+                                     const std::string& head)
+    {
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        const std::string id = field_of(head, "Attempt-Id");
+        scripted_answer a{stream_head(id) + chunk("id: 1\n\n")};
+        if (fault == engine_fault::silence)
+        {
+            a.pause = milliseconds(1700);
+            a.pieces = {chunk("id: 2\n\n") + "0\r\n\r\n"};
+            return a;
+        }
+        a.pause = milliseconds(340);
+        a.pieces.assign(4, chunk(": wait\n\n"));
+        a.pieces.push_back(fault == engine_fault::break_off
+                               ? "1"
+                               : chunk("id: 2\n\n") + "0\r\n\r\n");
+        a.closes = true;
+        return a;
+    }
+    static scripted_answer other_answer(unsigned status,
+                                        const std::string& head)
+    {
+        if (head.starts_with("GET /kv-list"))
+            return {whole_answer(404, "", "")};
+        const std::string id = field_of(head, "Attempt-Id");
+        if (status == 503)
+            return {whole_answer(503, id, "", "Not-Executed: 1\r\n")};
+        if (status != 200)
+            return {whole_answer(status, id, "")};
+        return {stream_head(id) + chunk("id: 2\n\n") + "0\r\n\r\n"};
+    }
+};
+
+// SIGTERM comes 0.6 s after the first event, the refusal of new requests 0.9 s
+// after it.
+TEST_P(open_stream, ends_whole_while_its_gateway_shuts_down)
+{
+    const open_stream_case& c = GetParam();
+    scripted_upstream u([&c](const std::string& head)
+                        { return stream_of(c.fault, head); });
+    scripted_upstream other([&c](const std::string& head)
+                            { return other_answer(c.other_status, head); });
+    add_upstream("i-1", u.address(), "writers", "decode");
+    start();
+    scripted_caller caller(gateway_->address());
+    caller.send(prompt_request("1"));
+    std::string answer = caller.read_until("id: 1\n\n");
+    if (c.other_status > 0)
+        add_upstream("i-2", other.address(), "writers", "decode");
+    std::this_thread::sleep_for(milliseconds(600));
+    if (c.fault == engine_fault::removal)
+        store_.remove(object_key("servers/i-1"),
+                      store_.get(object_key("servers/i-1")).version);
+    std::thread shutdown(
+        [this]
+        {
+            gateway_->drain();
+            gateway_.reset();
+        });
+    answer += caller.read_until("0\r\n\r\n");
+    shutdown.join();
+    EXPECT_TRUE(answer.ends_with("0\r\n\r\n")) << answer;
+    EXPECT_NE(answer.find("id: 2\n\n"), std::string::npos) << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    engines, open_stream,
+    testing::Values(
+        open_stream_case{"sound", engine_fault::none, 0},
+        open_stream_case{"removed", engine_fault::removal, 200},
+        open_stream_case{"broken_off_and_resumed", engine_fault::break_off,
+                         200},
+        open_stream_case{"silent_alone", engine_fault::silence, 0},
+        open_stream_case{"silent_other_rejects", engine_fault::silence, 503},
+        open_stream_case{"silent_other_fails", engine_fault::silence, 500},
+        open_stream_case{"silent_and_resumed", engine_fault::silence, 200}),
+    [](const auto& it) { return it.param.name; });
+
 } // namespace
 } // namespace poplar::gateway
