Caller sessions: answer requests sent behind an open one in a shutdown

Callers saw: of two requests sent one behind the other, the second one got no answer when SIGTERM came before the answer to the first.

Cause: once the gateway drains, an answer says `Connection: close` and the connection is closed after it, although the bytes of the next request had been read into the session's buffer by then.

Change: the connection is closed after an answer only when no byte of a further request has been received. The next one is then refused or served, and its answer closes the connection.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -276,9 +276,16 @@
         watch_caller();
 }
 
+/// A request that has been sent behind the current one gets an answer first.
+bool caller_session::must_close()
+{
+    return state_.is_draining && buffer_.size() == 0 &&
+           !has_pending_input(stream_.socket());
+}
+
 asio::awaitable<void> caller_session::send(answer_head head, std::string body)
 {
-    keep_alive_ = keep_alive_ && !state_.is_draining;
+    keep_alive_ = keep_alive_ && !must_close();
     http::response<http::string_body> message(std::move(head));
     message.body() = std::move(body);
     message.keep_alive(keep_alive_);
@@ -292,7 +299,7 @@
 
 asio::awaitable<void> caller_session::begin(answer_head head)
 {
-    keep_alive_ = keep_alive_ && !state_.is_draining;
+    keep_alive_ = keep_alive_ && !must_close();
     http::response<http::empty_body> message(std::move(head));
     message.chunked(true);
     message.keep_alive(keep_alive_);
--- a/gateway/caller_session.hpp
+++ b/gateway/caller_session.hpp
@@ -58,6 +58,9 @@
     void watch_caller();
     void on_caller_readable(const error_code& ec, unsigned generation);
     caller_limits limits() const;
+    /// Whether the connection is closed after the current answer because the
+    /// gateway shuts down.
+    bool must_close();
 
     gateway_state& state_;
     beast::tcp_stream stream_;
--- a/tests/platform/gateway_drain_test.cpp
+++ b/tests/platform/gateway_drain_test.cpp
@@ -227,5 +227,52 @@
         open_stream_case{"silent_and_resumed", engine_fault::silence, 200}),
     [](const auto& it) { return it.param.name; });
 
+class gateway_stop : public gateway_test,
+                     public testing::WithParamInterface<bool>
+{
+};
+
+// The answer to a request said that its connection closes, and the request that
+// had been read behind it got none.
+TEST_P(gateway_stop, answers_requests_that_were_sent_behind_an_open_one)
+{
+    scripted_upstream u(
+        [](const std::string& head) -> scripted_answer
+        {
+            const std::string id = field_of(head, "Attempt-Id");
+            if (head.starts_with("GET /kv-list"))
+                return {whole_answer(404, "", "")};
+            if (head.starts_with("GET /stream/"))
+                return {.bytes =
+                            stream_head(id) + chunk("id: 1\n\n") + "0\r\n\r\n",
+                        .delay = milliseconds(600)};
+            return {.bytes = whole_answer(200, id, "end of answer"),
+                    .delay = milliseconds(600)};
+        });
+    add_upstream("i-1", u.address(), "desk");
+    add_upstream("i-2", u.address(), "writers", "decode");
+    start();
+    scripted_caller caller(gateway_->address());
+    caller.send(GetParam() ? prompt_request("1") : request("/once/x", "1"));
+    while (requests_at(u) == 0)
+        std::this_thread::sleep_for(milliseconds(5));
+    caller.send(request("/once/x", "2"));
+    std::thread shutdown(
+        [this]
+        {
+            gateway_->drain();
+            gateway_.reset();
+        });
+    const std::string answers = caller.read_until("Attempt-Id: 2\r\n");
+    shutdown.join();
+    EXPECT_EQ(status_of(answers), "200");
+    EXPECT_NE(answers.find("HTTP/1.1 503"), std::string::npos) << answers;
+    EXPECT_EQ(requests_at(u), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(kinds, gateway_stop, testing::Bool(),
+                         [](const auto& it)
+                         { return it.param ? "stream" : "call"; });
+
 } // namespace
 } // namespace poplar::gateway
