Shutdown: answer requests that have arrived and are not yet read

Callers saw: at the end of a shutdown, requests that waited in a socket or on a connection that was not accepted yet got a reset. On a machine that gives the process little processor time they may have waited for more than the 200 ms after which an answer is owed.

Cause: a session counted as idle until its coroutine had run, and was closed; closing the listening socket resets what waits there.

Change: a session with bytes to be read does not count as idle, and the waiting connections are accepted before the listening socket is closed. Their requests are refused in the time for the last answers. What arrives between the check and the close, a few system calls, is still reset; a socket has no call that closes it only while it is empty.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -73,6 +73,12 @@
     stream_.close();
 }
 
+bool caller_session::is_idle()
+{
+    return !is_busy_ &&
+           !(stream_.socket().is_open() && has_pending_input(stream_.socket()));
+}
+
 void caller_session::end_request()
 {
     if (exchange_)
--- a/gateway/caller_session.hpp
+++ b/gateway/caller_session.hpp
@@ -23,11 +23,9 @@
     /// Serves requests until the connection is closed, by either side.
     asio::awaitable<void> run();
 
-    /// True while no byte of an unanswered request has been received.
-    bool is_idle() const
-    {
-        return !is_busy_;
-    }
+    /// True while no byte of an unanswered request has been received, by the
+    /// session or by the kernel.
+    bool is_idle();
     /// Aborts the request in progress and closes the connection.
     void close();
     /// Has the request in progress answered as soon as possible.
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -70,6 +70,7 @@
     unsigned count_busy_sessions();
     /// Closes all sessions, so that none outlives the state that it uses.
     void close_sessions();
+    void accept_waiting_callers();
     /// Accepts no further callers and has open requests answered at once.
     void end_requests();
     /// Stops the watchers and the engine control, which may block on the store.
--- a/gateway/gateway_shutdown.cpp
+++ b/gateway/gateway_shutdown.cpp
@@ -1,7 +1,10 @@
 #include "gateway/gateway.hpp"
+#include "observe/log.hpp"
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_future.hpp>
 
@@ -11,6 +14,8 @@
 namespace
 {
 
+using observe::event;
+
 constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// Time for the last answers before all connections are closed. An attempt to
 /// connect to an upstream, which is not interrupted, takes up to 400 ms.
@@ -85,8 +90,27 @@
         std::this_thread::sleep_for(close_poll);
 }
 
+/// Closing the listening socket resets the connections that wait there, with
+/// the requests that they have received.
+void gateway::accept_waiting_callers()
+{
+    error_code ec;
+    ec = callers_.non_blocking(true, ec);
+    for (std::size_t n = sessions_.size();
+         !ec && n < state_.settings.limits.max_callers; ++n)
+    {
+        asio::ip::tcp::socket socket = callers_.accept(ec);
+        if (!ec)
+            asio::co_spawn(loop_, serve_caller(std::move(socket)),
+                           asio::detached);
+    }
+    if (ec && ec != asio::error::would_block)
+        observe::log(event::gateway_accept_failed, {{"reason", ec.message()}});
+}
+
 void gateway::end_requests()
 {
+    accept_waiting_callers();
     callers_.close();
     state_.is_draining = true;
     state_.rejects_new_requests = true;
--- a/tests/platform/gateway_drain_test.cpp
+++ b/tests/platform/gateway_drain_test.cpp
@@ -2,6 +2,8 @@
 // their gateway.
 #include "tests/platform/gateway_fixture.hpp"
 
+#include <list>
+
 namespace poplar::gateway
 {
 namespace
@@ -274,5 +276,53 @@
                          [](const auto& it)
                          { return it.param ? "stream" : "call"; });
 
+// Connections that wait to be accepted were reset with their requests.
+TEST_F(gateway_test, answers_callers_that_wait_to_be_accepted_when_it_ends)
+{
+    scripted_upstream u(hang);
+    add_upstream("i-1", u.address(), "desk");
+    start();
+    gateway_->drain();
+    gateway_settings changed;
+    changed.limits.max_callers = 0;
+    gateway_->apply(changed);
+    // Its refusal pauses the accepting of callers for 50 ms.
+    scripted_caller rejected(gateway_->address());
+    std::this_thread::sleep_for(milliseconds(10));
+    changed.limits.max_callers = 100;
+    gateway_->apply(changed);
+    std::list<scripted_caller> waiting;
+    for (const char* id : {"1", "2", "3"})
+    {
+        waiting.emplace_back(gateway_->address());
+        waiting.back().send(request("/once/x", id));
+    }
+    gateway_.reset();
+    for (scripted_caller& it : waiting)
+        EXPECT_EQ(status_of(it.read_until("\r\n\r\n")), "503");
+}
+
+// A session counted as idle, and was closed, while a request waited to be read.
+TEST(caller_session, is_not_idle_while_a_request_waits_to_be_read)
+{
+    asio::io_context loop;
+    gateway_settings settings;
+    settings.peer = {"127.0.0.1", 0};
+    gateway_state state(loop, settings, {});
+    asio::ip::tcp::acceptor listener(loop,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    scripted_caller caller({"127.0.0.1", listener.local_endpoint().port()});
+    const auto session =
+        std::make_shared<caller_session>(state, listener.accept());
+    EXPECT_TRUE(session->is_idle());
+    caller.send("GET /");
+    const mono_time deadline = now() + seconds(2);
+    while (session->is_idle() && now() < deadline)
+        std::this_thread::sleep_for(milliseconds(5));
+    EXPECT_FALSE(session->is_idle());
+    session->close();
+    EXPECT_TRUE(session->is_idle());
+}
+
 } // namespace
 } // namespace poplar::gateway
