--- a/gateway/caller_session.hpp
+++ b/gateway/caller_session.hpp
@@ -23,13 +23,13 @@
     /// Serves requests until the connection is closed, by either side.
     asio::awaitable<void> run();
 
-    /// True while no byte of an unanswered request has been received.
-    bool is_idle() const
-    {
-        return !is_busy_;
-    }
+    /// True while no byte of an unanswered request has been received, by the
+    /// session or by the kernel.
+    bool is_idle();
     /// Aborts the request in progress and closes the connection.
     void close();
+    /// Has the request in progress answered as soon as possible.
+    void end_request();
 
     asio::awaitable<void> send(answer_head head, std::string body) override;
     asio::awaitable<void> begin(answer_head head) override;
@@ -56,6 +56,9 @@
     void watch_caller();
     void on_caller_readable(const error_code& ec, unsigned generation);
     caller_limits limits() const;
+    /// Whether the connection is closed after the current answer because the
+    /// gateway shuts down.
+    bool must_close();
 
     gateway_state& state_;
     beast::tcp_stream stream_;
