--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -93,6 +93,7 @@
     {
         attempt_result result = attempt_result::lost;
         bool is_complete = false;
+        bool keeps_connection = false; ///< The engine's process goes on.
         /// Set if the upstream did not answer with a stream.
         buffered_answer answer;
     };
@@ -101,7 +102,7 @@
     /// Time for which the prompt is not to be sent, since it would crash its
     /// engine; empty if it may be sent.
     std::optional<duration> fatal_prompt_hold() const;
-    void note_broken_off(const upstream_ptr& u, attempt_result result);
+    void note_broken_off(const upstream_ptr& u, const stream_outcome& end);
     asio::awaitable<void> serve_call();
     asio::awaitable<void> serve_stream();
     asio::awaitable<stream_step> place_and_prefill(stream_placement& placement);
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -153,9 +153,10 @@
     return state_.upstreams.fatal_blocks().refusal(shared_digests_, now());
 }
 
-void exchange::note_broken_off(const upstream_ptr& u, attempt_result result)
+void exchange::note_broken_off(const upstream_ptr& u, const stream_outcome& end)
 {
-    if (result == attempt_result::lost && !caller_disconnected_)
+    if (end.result == attempt_result::lost && !end.keeps_connection &&
+        !caller_disconnected_)
         state_.upstreams.note_broken_off(u, shared_digests_, now());
 }
 
@@ -295,7 +296,7 @@
         placement.decode_engine, std::move(options), prefill_guard);
     if (answer_started_)
         record_blocks(*placement.decode_engine, blocks_, duration{});
-    note_broken_off(placement.decode_engine, end.result);
+    note_broken_off(placement.decode_engine, end);
     if (caller_disconnected_)
         co_return stream_step::replan;
     if (is_suspended_speaking())
@@ -379,6 +380,7 @@
         end.is_complete = end.answer.status == call_status::ok;
         end.result = result_of(end.answer.status);
         end.answer.failure = call->failure();
+        end.keeps_connection = call->keeps_connection();
         if (end.answer.status == call_status::interrupted)
             suspend(u, std::move(call));
         co_return end;
--- a/gateway/exchange_suspension.cpp
+++ b/gateway/exchange_suspension.cpp
@@ -116,14 +116,15 @@
         co_await forward_piece(call, std::move(attempt->received));
     }
     const call_status status = co_await forward_events(*u, call, [] {});
-    note_broken_off(u, result_of(status));
+    stream_outcome end;
+    end.result = result_of(status);
+    end.is_complete = status == call_status::ok;
+    end.keeps_connection = call.keeps_connection();
+    note_broken_off(u, end);
     if (caller_disconnected_)
         co_return stream_step::replan;
     if (status == call_status::interrupted)
         suspend(u, std::move(attempt->call));
-    stream_outcome end;
-    end.result = result_of(status);
-    end.is_complete = status == call_status::ok;
     const next_step step = finish_attempt(end.result, u, "");
     if (step == next_step::retry)
     {
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -102,6 +102,11 @@
     /// Calls `on_readable` once bytes have arrived or the connection ended;
     /// not while a read is in progress.
     void notify_when_readable(std::function<void()> on_readable);
+    /// True if the answer has ended and the upstream keeps the connection open.
+    bool keeps_connection() const
+    {
+        return is_complete_ && parser_->keep_alive();
+    }
     bool is_given_up() const
     {
         return is_stalled_ || is_canceled_;
