Store: one odd entry costs only itself, in a list and in a change

Callers saw, in reports of other operators, gateways that ended again and again or stopped following the list of upstreams after another writer had left one odd entry there.

Cause: the client wrote each value back to text, which the JSON library does recursively; and a number such as 1e999 or bytes that are not UTF-8 made it refuse the whole answer. Counts with a fraction or out of range, port 0 and an address with a zero byte were taken for other values.

Change: base/json_text splits an answer into its rows without recursion and without converting values; each row is read for itself and its value passed on as written. parse_json bounds the depth (max_json_depth) for all readers of documents from outside; json_integer refuses fractions and numbers out of range. A row that cannot be read is left out of a list and counts as removed in a change (event 303). Event 904 is written once for each reason. The object server stand-in passes values on as written, so that it can hold entries that the library cannot read.

Ruled out: the library's parser and the end of a document do not recurse. chat_request_test shows no fault in bodies of callers.

No test shows that an odd entry is logged once. The linter and the other tests were not run.

--- a/agent/engine_api.cpp
+++ b/agent/engine_api.cpp
@@ -1,6 +1,6 @@
 #include "agent/engine_api.hpp"
 
-#include "base/error.hpp"
+#include "base/json_text.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -22,7 +22,7 @@
 {
     try
     {
-        return read(json::parse(text));
+        return read(parse_json(text));
     }
     catch (const json::exception& ec)
     {
--- a/agent/slot.cpp
+++ b/agent/slot.cpp
@@ -1,6 +1,6 @@
 #include "agent/slot.hpp"
 
-#include "base/error.hpp"
+#include "base/json_text.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -21,7 +21,7 @@
 {
     try
     {
-        const json j = json::parse(text);
+        const json j = parse_json(text);
         return {agent_incarnation(j.at("incarnation").get<std::uint64_t>()),
                 j.value("address", ""), j.value("process", "")};
     }
--- a/base/base.cpp
+++ b/base/base.cpp
@@ -32,12 +32,23 @@
 bool is_ip_number(const std::string& host)
 {
     unsigned char buf[sizeof(in6_addr)];
+    // inet_pton reads to the first zero byte.
+    if (host.find('\0') != std::string::npos)
+        return false;
     return inet_pton(AF_INET, host.c_str(), buf) == 1 ||
            inet_pton(AF_INET6, host.c_str(), buf) == 1;
 }
 
 } // namespace
 
+std::string excerpt(std::string_view text)
+{
+    constexpr std::size_t max_bytes = 200;
+    if (text.size() <= max_bytes)
+        return std::string(text);
+    return std::string(text.substr(0, max_bytes)) + "...";
+}
+
 system_failure::system_failure(const std::string& operation, int ec)
     : error(operation + ": " + std::strerror(ec)), code_(ec)
 {
@@ -117,17 +128,17 @@
 {
     const auto colon = text.rfind(':');
     if (colon == std::string::npos)
-        throw parse_error("address without a port: " + text);
+        throw parse_error("address without a port: " + excerpt(text));
     std::string host = text.substr(0, colon);
     if (host.size() > 2 && host.front() == '[' && host.back() == ']')
         host = host.substr(1, host.size() - 2);
     if (!is_ip_number(host))
-        throw parse_error("not an IP number: " + text);
+        throw parse_error("not an IP number: " + excerpt(text));
     std::uint16_t port = 0;
     const char* end = text.data() + text.size();
     auto [it, ec] = std::from_chars(text.data() + colon + 1, end, port);
     if (ec != std::errc() || it != end)
-        throw parse_error("not a port: " + text);
+        throw parse_error("not a port: " + excerpt(text));
     return {host, port};
 }
 
--- a/base/error.hpp
+++ b/base/error.hpp
@@ -3,6 +3,7 @@
 
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace poplar
@@ -22,6 +23,10 @@
     using error::error;
 };
 
+/// The beginning of a text that an error message cites. A text from outside
+/// may have 1 MB.
+std::string excerpt(std::string_view text);
+
 /// A failed system call; `code` is errno.
 class system_failure : public error
 {
--- a/base/json_guard.hpp
+++ b/base/json_guard.hpp
@@ -18,7 +18,7 @@
     }
     catch (const nlohmann::json::exception& ec)
     {
-        throw parse_error(ec.what());
+        throw parse_error(excerpt(ec.what()));
     }
 }
 
--- a/control/assignments.cpp
+++ b/control/assignments.cpp
@@ -1,5 +1,7 @@
 #include "control/assignments.hpp"
 
+#include "base/json_text.hpp"
+
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -99,7 +101,7 @@
 {
     try
     {
-        return parse_object(json::parse(text));
+        return parse_object(parse_json(text));
     }
     catch (const json::exception& ec)
     {
@@ -120,7 +122,7 @@
 {
     try
     {
-        const json j = json::parse(text);
+        const json j = parse_json(text);
         return {instance_id(j.at("owner").get<std::string>()),
                 j.at("address").get<std::string>(),
                 owner_epoch(j.at("epoch").get<std::uint64_t>()),
--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -1,6 +1,6 @@
 #include "gateway/engine_control.hpp"
 
-#include "base/json_guard.hpp"
+#include "base/json_text.hpp"
 #include "observe/log.hpp"
 #include "platform/wire.hpp"
 
@@ -58,10 +58,11 @@
 
 ip_address decode_registration(const std::string& value)
 {
-    return parse_ip_address(guard_json(
-        [&] {
-            return nlohmann::json::parse(value).at("peer").get<std::string>();
-        }));
+    const ip_address peer = parse_ip_address(guard_json(
+        [&] { return parse_json(value).at("peer").get<std::string>(); }));
+    if (peer.port == 0)
+        throw parse_error("peer: the port is 0");
+    return peer;
 }
 
 engine_control::engine_control(store::object_store& store,
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -302,19 +302,24 @@
     const std::string name =
         o.key.value.substr(std::string(platform::upstream_prefix).size());
     if (is_removed)
+    {
+        refused_upstreams_.erase(name);
         return state_.upstreams.remove(upstream_id(name), now());
+    }
     try
     {
         const bool is_new = !state_.upstreams.find(upstream_id(name));
         state_.upstreams.apply(platform::decode_upstream(o.key, o.value));
+        refused_upstreams_.erase(name);
         const upstream_ptr u = state_.upstreams.find(upstream_id(name));
         if (is_new && u->record.stage != engine_stage::none)
             asio::co_spawn(loop_, fetch_cached_blocks(u), asio::detached);
     }
     catch (const parse_error& ec)
     {
-        observe::log(event::gateway_upstream_refused,
-                     {{"upstream", name}, {"reason", ec.what()}});
+        if (std::exchange(refused_upstreams_[name], ec.what()) != ec.what())
+            observe::log(event::gateway_upstream_refused,
+                         {{"upstream", excerpt(name)}, {"reason", ec.what()}});
         state_.upstreams.remove(upstream_id(name), now());
     }
 }
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -87,6 +87,9 @@
     std::unique_ptr<store::watcher> gateway_watcher_;
     /// Load report addresses of all registered gateways, this one included.
     std::map<object_key, ip_address> registered_gateways_;
+    /// Reason for which an upstream's entry was last refused. The entry may be
+    /// written every second, but is logged once.
+    std::map<std::string, std::string> refused_upstreams_;
     watch_sharing configuration_sharing_;
     std::unique_ptr<engine_control> control_;
     std::thread thread_;
--- a/ledger/record.cpp
+++ b/ledger/record.cpp
@@ -1,6 +1,6 @@
 #include "ledger/record.hpp"
 
-#include "base/error.hpp"
+#include "base/json_text.hpp"
 
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
@@ -130,7 +130,7 @@
 {
     try
     {
-        return parse_shard(json::parse(text), service);
+        return parse_shard(parse_json(text), service);
     }
     catch (const json::exception& ec)
     {
@@ -148,7 +148,7 @@
 {
     try
     {
-        return parse_calls(json::parse(text), service);
+        return parse_calls(parse_json(text), service);
     }
     catch (const json::exception& ec)
     {
--- a/sheet/record.cpp
+++ b/sheet/record.cpp
@@ -1,5 +1,5 @@
 #include "base/digest.hpp"
-#include "base/error.hpp"
+#include "base/json_text.hpp"
 #include "sheet/sheet.hpp"
 
 #include <nlohmann/json.hpp>
@@ -65,7 +65,7 @@
 {
     try
     {
-        return record_from_json(json::parse(text));
+        return record_from_json(parse_json(text));
     }
     catch (const json::exception& ec)
     {
--- a/store/api_json.cpp
+++ b/store/api_json.cpp
@@ -1,6 +1,6 @@
 #include "store/api_json.hpp"
 
-#include "base/json_guard.hpp"
+#include "base/json_text.hpp"
 
 #include <array>
 #include <charconv>
@@ -44,6 +44,17 @@
     return r;
 }
 
+std::optional<instance_record> parse_instance_row(std::string_view text)
+{
+    return guard_json(
+        [&]
+        {
+            const json j = parse_json(text);
+            const instance_id id(j.at("instance").get<std::string>());
+            return record_from_json(id, j);
+        });
+}
+
 json record_to_json(const instance_record& r)
 {
     return {{"instance", r.instance.value},
@@ -55,14 +66,34 @@
             {"state", to_string(r.state)}};
 }
 
-object object_from_json(const json& j)
+/// The text of a member that has to be a string.
+std::string text_at(const std::vector<json_member>& members, const char* name)
 {
+    return guard_json(
+        [&] {
+            return parse_json(json_member_at(members, name)).get<std::string>();
+        });
+}
+
+/// A value that cannot be read is left empty.
+object parse_row(std::string_view text,
+                 std::vector<unreadable_entry>& unreadable)
+{
+    const auto members = split_json_object(text);
     object o;
-    o.key = object_key(j.at("key").get<std::string>());
-    if (j.at("value").is_null())
+    o.key = object_key(text_at(members, "key"));
+    if (json_member_at(members, "value") == "null")
         return o;
-    o.version = object_version(j.at("version").get<std::uint64_t>());
-    o.value = j.at("value").get<std::string>();
+    try
+    {
+        o.version = object_version(json_integer<std::uint64_t>(
+            parse_json(json_member_at(members, "version"))));
+        o.value = text_at(members, "value");
+    }
+    catch (const parse_error& ec)
+    {
+        unreadable.push_back({o.key.value, ec.what()});
+    }
     return o;
 }
 
@@ -88,33 +119,39 @@
 
 object_list parse_objects(const std::string& body, const std::string& member)
 {
-    return guard_json(
-        [&]
+    const auto answer = split_json_object(body);
+    object_list list;
+    list.revision = object_version(json_integer<std::uint64_t>(
+        parse_json(json_member_at(answer, "revision"))));
+    for (const std::string_view it :
+         split_json_array(json_member_at(answer, member)))
+        try
         {
-            const json j = json::parse(body);
-            object_list list;
-            list.revision = object_version(j.at("revision"));
-            for (const json& it : j.at(member))
-                list.objects.push_back(object_from_json(it));
-            return list;
-        });
+            list.objects.push_back(parse_row(it, list.unreadable));
+        }
+        catch (const parse_error& ec)
+        {
+            list.unreadable.push_back({"", ec.what()});
+        }
+    return list;
 }
 
-std::vector<instance_record> parse_instances(const std::string& body)
+instance_list parse_instances(const std::string& body)
 {
-    return guard_json(
-        [&]
+    const auto answer = split_json_object(body);
+    instance_list list;
+    for (const std::string_view it :
+         split_json_array(json_member_at(answer, "instances")))
+        try
         {
-            const json j = json::parse(body);
-            std::vector<instance_record> records;
-            for (const json& it : j.at("instances"))
-            {
-                const instance_id id(it.at("instance").get<std::string>());
-                if (auto record = record_from_json(id, it))
-                    records.push_back(std::move(*record));
-            }
-            return records;
-        });
+            if (auto record = parse_instance_row(it))
+                list.records.push_back(std::move(*record));
+        }
+        catch (const parse_error& ec)
+        {
+            list.unreadable.push_back({excerpt(it), ec.what()});
+        }
+    return list;
 }
 
 std::string to_json(const std::vector<instance_record>& records)
@@ -131,7 +168,7 @@
     return guard_json(
         [&]
         {
-            auto record = record_from_json(instance, json::parse(body));
+            auto record = record_from_json(instance, parse_json(body));
             if (!record)
                 throw parse_error("unknown kind of instance");
             return *record;
--- a/store/api_json.hpp
+++ b/store/api_json.hpp
@@ -1,7 +1,7 @@
 /// JSON bodies of the object API.
 #pragma once
 
-#include "store/object_store.hpp"
+#include "store/dialect.hpp"
 
 #include <string>
 #include <vector>
@@ -10,12 +10,13 @@
 {
 
 /// Body of a list ("objects") or watch ("changes") answer. Objects whose value
-/// is null get version 0. Throws parse_error.
+/// is null get version 0; one whose value cannot be read gets an empty value.
+/// Throws parse_error.
 object_list parse_objects(const std::string& body, const std::string& member);
 
 /// Body of the instance list. Rows of an unknown kind are left out, so that
 /// the platform may add kinds. Throws parse_error.
-std::vector<instance_record> parse_instances(const std::string& body);
+instance_list parse_instances(const std::string& body);
 
 std::string to_json(const std::vector<instance_record>& records);
 
--- a/store/dialect.hpp
+++ b/store/dialect.hpp
@@ -26,7 +26,15 @@
     std::string next;
 };
 
-/// The parse hooks throw parse_error.
+struct instance_list
+{
+    std::vector<instance_record> records;
+    std::vector<unreadable_entry> unreadable;
+};
+
+/// The parse hooks throw parse_error for an answer that cannot be read. One
+/// row that cannot be read costs that row only: in a list it is left out, in
+/// changes its object counts as removed.
 struct store_dialect
 {
     std::function<store_call(const object_key&)> get;
@@ -56,8 +64,7 @@
     /// Version after a write, or the present one after a conflict; 0 when the
     /// object does not exist.
     std::function<object_version(const net::http_response&)> parse_version;
-    std::function<std::vector<instance_record>(const net::http_response&)>
-        parse_instances;
+    std::function<instance_list(const net::http_response&)> parse_instances;
 };
 
 /// The project's own object API (docs/design.md, section 9).
--- a/store/http_store.cpp
+++ b/store/http_store.cpp
@@ -1,4 +1,6 @@
+#include "base/digest.hpp"
 #include "net/http_client.hpp"
+#include "observe/log.hpp"
 #include "store/dialect.hpp"
 
 #include <absl/synchronization/mutex.h>
@@ -17,6 +19,9 @@
 using net::client_result;
 using net::http_response;
 
+/// Unreadable entries that are remembered as logged; bounds the memory.
+constexpr std::size_t max_logged_entries = 10'000;
+
 enum class call_kind
 {
     read,
@@ -132,8 +137,10 @@
     std::vector<instance_record> instances() override
     {
         const http_response r = found(read(dialect_.instances));
-        return parse_answer(call_kind::read,
-                            [&] { return dialect_.parse_instances(r); });
+        instance_list list = parse_answer(
+            call_kind::read, [&] { return dialect_.parse_instances(r); });
+        log_unreadable("instances", list.unreadable);
+        return std::move(list.records);
     }
 
     void stop_watches() override;
@@ -160,12 +167,16 @@
     }
 
     put_result write(store_call call);
+    void log_unreadable(const std::string& where,
+                        const std::vector<unreadable_entry>& entries);
 
     const http_store_options options_;
     const store_dialect dialect_;
     absl::Mutex mutex_;
     bool watches_stopped_ ABSL_GUARDED_BY(mutex_) = false;
     std::set<net::exchange_number> watches_ ABSL_GUARDED_BY(mutex_);
+    /// Digests of the unreadable entries that were logged.
+    std::set<std::uint64_t> logged_ ABSL_GUARDED_BY(mutex_);
     net::http_client client_; ///< Last: its hooks end before the rest goes.
 };
 
@@ -198,6 +209,7 @@
             call_kind::read, [&] { return dialect_.parse_page(prefix, r); });
         if (after.empty())
             all.revision = page.list.revision;
+        log_unreadable(prefix, page.list.unreadable);
         std::ranges::move(page.list.objects, std::back_inserter(all.objects));
         after = std::move(page.next);
     } while (!after.empty());
@@ -239,8 +251,28 @@
     }
     const http_response r =
         found(response_of(std::move(result), call_kind::read, what));
-    return parse_answer(call_kind::read,
-                        [&] { return dialect_.parse_changes(prefix, r); });
+    object_list changes = parse_answer(
+        call_kind::read, [&] { return dialect_.parse_changes(prefix, r); });
+    log_unreadable(prefix, changes.unreadable);
+    return changes;
+}
+
+/// An entry is logged once, though lists are read and entries written again and
+/// again.
+void http_store::log_unreadable(const std::string& where,
+                                const std::vector<unreadable_entry>& entries)
+{
+    absl::MutexLock lock(&mutex_);
+    for (const unreadable_entry& it : entries)
+    {
+        if (logged_.size() >= max_logged_entries)
+            logged_.clear();
+        if (logged_.insert(digest(it.reason, digest(where + it.name))).second)
+            observe::log(observe::event::platform_entry_unreadable,
+                         {{"list", where},
+                          {"entry", excerpt(it.name)},
+                          {"reason", it.reason}});
+    }
 }
 
 void http_store::stop_watches()
--- a/store/object_store.hpp
+++ b/store/object_store.hpp
@@ -24,10 +24,18 @@
     std::string value;
 };
 
+/// A row of an answer that cannot be read; the other rows are in use.
+struct unreadable_entry
+{
+    std::string name; ///< Empty when the name cannot be read either.
+    std::string reason;
+};
+
 struct object_list
 {
     object_version revision; ///< Pass it to watch.
     std::vector<object> objects;
+    std::vector<unreadable_entry> unreadable;
 };
 
 enum class store_failure
--- a/tests/platform/object_server.cpp
+++ b/tests/platform/object_server.cpp
@@ -15,24 +15,31 @@
 
 constexpr std::string_view base_path = "/objects/";
 
-json object_json(const object& o)
+/// The value stands in the answer as it was written: an entry of another writer
+/// need not be JSON that the library can read.
+std::string object_json(const object& o)
 {
     const std::string name = o.key.value.substr(o.key.value.find('/') + 1);
-    json j{{"metadata", {{"name", name}, {"revision", o.version.value}}}};
-    j["spec"] = o.value.empty() ? json::object() : json::parse(o.value);
-    return j;
+    const json meta{{"name", name}, {"revision", o.version.value}};
+    return R"({"metadata":)" + meta.dump() + R"(,"spec":)" +
+           (o.value.empty() ? "{}" : o.value) + "}";
 }
 
-json list_json(const store::object_list& list, bool is_watch)
+std::string event_json(const object& o)
 {
-    json rows = json::array();
+    return R"({"object":)" + object_json(o) + R"(,"deleted":)" +
+           (o.version.value == 0 ? "true" : "false") + "}";
+}
+
+std::string list_json(const store::object_list& list, bool is_watch)
+{
+    std::string rows;
     for (const object& it : list.objects)
-        rows.push_back(is_watch ? json{{"object", object_json(it)},
-                                       {"deleted", it.version.value == 0}}
-                                : object_json(it));
-    return {{"asOf", list.revision.value},
-            {is_watch ? "events" : "items", rows},
-            {"hasMore", false}};
+        rows += (rows.empty() ? "" : ",") +
+                (is_watch ? event_json(it) : object_json(it));
+    return R"({"asOf":)" + std::to_string(list.revision.value) +
+           (is_watch ? R"(,"events":[)" : R"(,"items":[)") + rows +
+           R"(],"hasMore":false})";
 }
 
 std::uint64_t number(const http_request& r, const char* name)
@@ -91,14 +98,12 @@
             list_json(store_.watch(
                           key + "/", object_version(number(request, "watch")),
                           std::chrono::milliseconds(number(request, "waitMs"))),
-                      true)
-                .dump());
+                      true));
     if (key.find('/') == std::string::npos)
-        return net::json_response(
-            200, list_json(store_.list(key + "/"), false).dump());
+        return net::json_response(200,
+                                  list_json(store_.list(key + "/"), false));
     const object o = store_.get(object_key(key));
-    return net::json_response(o.version.value == 0 ? 404 : 200,
-                              object_json(o).dump());
+    return net::json_response(o.version.value == 0 ? 404 : 200, object_json(o));
 }
 
 http_response object_server::answer_write(const http_request& request,
@@ -108,7 +113,7 @@
     {
         store_.remove(object_key(key),
                       object_version(number(request, "revision")));
-        return net::json_response(200, object_json({}).dump());
+        return net::json_response(200, object_json({}));
     }
     const json body = json::parse(request.body);
     const json& meta = body.at("metadata");
@@ -119,7 +124,7 @@
                    object_version(meta.value("revision", std::uint64_t(0))));
     const bool is_written = r.status == store::put_status::written;
     return net::json_response(is_written ? 200 : 409,
-                              object_json(store_.get(full)).dump());
+                              object_json(store_.get(full)));
 }
 
 } // namespace poplar::platform
--- a/tests/platform/objects_test.cpp
+++ b/tests/platform/objects_test.cpp
@@ -124,5 +124,109 @@
     EXPECT_EQ(changes.objects[0].version, object_version());
 }
 
+struct item_case
+{
+    const char* name;
+    std::string text;
+    bool is_named; ///< The name can be read, so that its removal is reported.
+};
+
+std::string metadata_item(const std::string& name, const std::string& revision)
+{
+    return R"({"metadata":{"name":)" + name + R"(,"revision":)" + revision +
+           R"(},"spec":{}})";
+}
+
+std::vector<item_case> odd_items()
+{
+    const std::string deep =
+        std::string(400'000, '[') + std::string(400'000, ']');
+    return {{"null", "null", false},
+            {"number", "1e999", false},
+            {"nested", deep, false},
+            {"no_metadata", R"({"spec":{}})", false},
+            {"metadata_nested", R"({"metadata":)" + deep + "}", false},
+            {"name_missing", R"({"metadata":{"revision":4}})", false},
+            {"name_number", metadata_item("7", "4"), false},
+            {"name_empty", metadata_item(R"("")", "4"), false},
+            {"name_nested", metadata_item(deep, "4"), false},
+            {"name_not_utf8", metadata_item("\"\xff\"", "4"), false},
+            {"revision_missing", R"({"metadata":{"name":"m"}})", true},
+            {"revision_infinite", metadata_item(R"("m")", "1e999"), true},
+            {"revision_negative", metadata_item(R"("m")", "-4"), true},
+            {"revision_zero", metadata_item(R"("m")", "0"), true},
+            {"revision_text", metadata_item(R"("m")", R"("4")"), true},
+            {"revision_nested", metadata_item(R"("m")", deep), true}};
+}
+
+class odd_item : public testing::TestWithParam<item_case>
+{
+protected:
+    const store::store_dialect dialect_ = make_object_dialect();
+};
+
+TEST_P(odd_item, costs_only_itself_in_a_page)
+{
+    net::http_response r;
+    r.body = R"({"asOf":9,"hasMore":true,"items":[)" +
+             metadata_item(R"("a")", "3") + "," + metadata_item(R"("z")", "5") +
+             "," + GetParam().text + "]}";
+    const store::object_page page = dialect_.parse_page("servers/", r);
+    ASSERT_EQ(page.list.objects.size(), 2U);
+    EXPECT_EQ(page.list.objects[1].key.value, "servers/z");
+    EXPECT_EQ(page.next, "z");
+    ASSERT_EQ(page.list.unreadable.size(), 1U);
+    EXPECT_EQ(page.list.unreadable[0].name,
+              GetParam().is_named ? "servers/m" : "");
+}
+
+TEST_P(odd_item, costs_only_itself_among_changes)
+{
+    net::http_response r;
+    r.body = R"({"asOf":9,"events":[{"object":)" + GetParam().text +
+             R"(},{"object":)" + metadata_item(R"("z")", "5") + "}]}";
+    const store::object_list list = dialect_.parse_changes("servers/", r);
+    EXPECT_EQ(list.revision, object_version(9));
+    EXPECT_EQ(list.unreadable.size(), 1U);
+    ASSERT_EQ(list.objects.size(), GetParam().is_named ? 2U : 1U);
+    EXPECT_EQ(list.objects.back().key.value, "servers/z");
+    if (!GetParam().is_named)
+        return;
+    EXPECT_EQ(list.objects[0].key.value, "servers/m");
+    EXPECT_EQ(list.objects[0].version, object_version());
+}
+
+INSTANTIATE_TEST_SUITE_P(items, odd_item, testing::ValuesIn(odd_items()),
+                         [](const auto& it) { return it.param.name; });
+
+// Without the name of its last object the rest of the list cannot be asked for.
+TEST(object_dialect, refuses_a_page_without_any_name)
+{
+    net::http_response r;
+    r.body = R"({"asOf":9,"hasMore":true,"items":[null]})";
+    EXPECT_THROW(make_object_dialect().parse_page("servers/", r), parse_error);
+}
+
+TEST(object_dialect, reads_the_version_of_an_object_with_odd_content)
+{
+    net::http_response r;
+    r.status = 409;
+    r.body = R"({"metadata":{"name":"m","revision":4},"spec":{"x":1e999}})";
+    EXPECT_EQ(make_object_dialect().parse_version(r), object_version(4));
+}
+
+TEST(decode_upstream, refuses_names_that_no_header_field_can_carry)
+{
+    const std::string text =
+        R"({"service":"w","address":"1.2.3.4:1","zone":"z","slots":1,
+            "state":"ready"})";
+    for (const std::string& name :
+         {std::string(), std::string("a b"), std::string("a\r\nHost: b"),
+          std::string("\xff"), std::string(300, 'a')})
+        EXPECT_THROW(decode_upstream(object_key("servers/" + name), text),
+                     parse_error);
+    EXPECT_NO_THROW(decode_upstream(object_key("servers/a/b"), text));
+}
+
 } // namespace
 } // namespace poplar::platform
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -251,5 +251,34 @@
     EXPECT_EQ(parts[0].digest, r.engine_prompt->blocks[1].digest);
 }
 
+class odd_number : public testing::TestWithParam<const char*>
+{
+};
+
+// A number out of range was cut off and taken for another one.
+TEST_P(odd_number, is_refused_in_reports_and_cache_lists)
+{
+    const std::string n = GetParam();
+    EXPECT_THROW(decode_report(R"({"seq":)" + n + "}"), parse_error);
+    EXPECT_THROW(
+        decode_cache_list(R"({"held":[["","91bd",)" + n + R"(,"m"]]})"),
+        parse_error);
+}
+
+INSTANTIATE_TEST_SUITE_P(numbers, odd_number,
+                         testing::Values("-1", "1.5", "1e30", "1e999", "true",
+                                         "\"1\"", "18446744073709551624"));
+
+// Answers of an upstream are bounded in size, but not in depth.
+TEST(decode_answers, refuses_deeply_nested_ones)
+{
+    const std::string deep =
+        std::string(400'000, '[') + std::string(400'000, ']');
+    EXPECT_THROW(decode_report(R"({"x":)" + deep + "}"), parse_error);
+    EXPECT_THROW(decode_cache_list(R"({"held":)" + deep + "}"), parse_error);
+    EXPECT_THROW(decode_prefill(R"({"kvHandle":)" + deep + "}", {}),
+                 parse_error);
+}
+
 } // namespace
 } // namespace poplar::platform
