JSON text: a string that ends after a backslash is not read past its end

The cursor stood two bytes behind the text. Found by reading at the merge; the case open_escape of json_text_test had passed by luck.

--- a/base/json_text.cpp
+++ b/base/json_text.cpp
@@ -77,7 +77,7 @@
 private:
     char next() const
     {
-        if (at_ == text_.size())
+        if (at_ >= text_.size())
             throw parse_error("the text ends too early");
         return text_[at_];
     }
