--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -233,43 +233,6 @@
            has_alternative(u);
 }
 
-bool exchange::has_alternative(const upstream& u) const
-{
-    std::vector<std::size_t> excluded = excluded_indices();
-    for (std::size_t i = 0; i < fleet_->members.size(); ++i)
-        if (fleet_->members[i]->record.id == u.record.id)
-            excluded.push_back(i);
-    const auto instances = engines_of(*fleet_, now());
-    if (info_.engine_prompt && has_engines(*fleet_))
-        return fleet_->placement.plan(instances, placed_request(), excluded)
-            .has_value();
-    return policy::choose_instance({}, instances,
-                                   state_.settings.failure_domain, excluded, 0)
-        .has_value();
-}
-
-/// The prefill of a split request is repeated with its decode call.
-unsigned exchange::retries_for_another(bool prefill_only) const
-{
-    return !prefill_only && history_.prefill_calls > 0 ? 2 : 1;
-}
-
-bool exchange::reserve_retries(bool prefill_only)
-{
-    const unsigned n = retries_for_another(prefill_only);
-    while (reserved_retries_ < n && fleet_->retries.try_retry())
-        ++reserved_retries_;
-    return reserved_retries_ >= n;
-}
-
-bool exchange::take_retry()
-{
-    if (reserved_retries_ == 0)
-        return fleet_->retries.try_retry();
-    --reserved_retries_;
-    return true;
-}
-
 void exchange::give_up_stalled(const upstream& u, upstream_call& call,
                                bool prefill_only)
 {
