--- a/tests/platform/odd_entries.hpp
+++ b/tests/platform/odd_entries.hpp
@@ -15,9 +15,9 @@
     const char* name;
     std::string text;
 
-    friend void PrintTo(const odd_entry& e, std::ostream* out)
+    friend std::ostream& operator<<(std::ostream& out, const odd_entry& e)
     {
-        *out << e.name;
+        return out << e.name;
     }
 };
 
