Load reports: completions of cleared blocks are no news

Now only the completion that clears a block counts. Crashes are news for 2 s, at most 40 in a report.

--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -51,10 +51,10 @@
 constexpr std::size_t max_limits = 200;
 /// Limits of block crashes and completions in one report, 32 and 16 bytes
 /// each; further ones are left out.
-constexpr std::size_t max_crashes = 100;
+constexpr std::size_t max_crashes = 40;
 /// Crashes and completions are in every report for the first time, so that all
 /// peers learn of them soon, and then in one of several, for peers that start.
-constexpr duration crash_news_time = std::chrono::seconds(5);
+constexpr duration crash_news_time = std::chrono::seconds(2);
 constexpr duration crash_memory = std::chrono::minutes(30);
 constexpr std::uint64_t reports_per_crash_repeat = 16;
 /// Time without reports after which a gateway no longer has a share of the
@@ -243,8 +243,9 @@
             report.demand.emplace_back(digest(name.value),
                                        it.demand.value(now()));
     const bool repeats = number_ % reports_per_crash_repeat == 0;
-    const mono_time since = now() - (repeats ? crash_memory : crash_news_time);
-    report.crashes = upstreams_.fatal_blocks().crashes(since, max_crashes);
+    const mono_time since = now() - crash_news_time;
+    report.crashes = upstreams_.fatal_blocks().crashes(
+        repeats ? now() - crash_memory : since, max_crashes);
     report.completions =
         upstreams_.fatal_blocks().completions(since, max_crashes);
     sent_blocks_.push_back(std::exchange(pending_blocks_, {}));
--- a/policy/fatal_blocks.cpp
+++ b/policy/fatal_blocks.cpp
@@ -53,7 +53,8 @@
 void fatal_block_detector::record_completion(const block_completion& completion)
 {
     const auto it = records_.find(completion.block);
-    if (it == records_.end() || completion.at <= it->second.last_completion)
+    if (it == records_.end() || it->second.crashes.empty() ||
+        completion.at <= it->second.last_completion)
         return;
     record& r = it->second;
     r.last_completion = completion.at;
