Store: versions carry the era of a store that is restored from a copy

Cause: a watcher reports an object only when its revision is above the one it knows, and watches from its last revision. A restored store gives out revisions again, so that a change is taken for an old one, or lies below the cursor of the watch.

An object_version now holds the era of the store above the revision, as the header Store-Era of the answer names it: what compares versions stays right across a restoration, and so do digests of them and fencing tokens. A watch whose answer names another era fails as compacted, and the objects are listed again. A write against a version of an earlier era is a conflict without a call, since the store may have given out that revision again.

--- a/base/ids.hpp
+++ b/base/ids.hpp
@@ -81,9 +81,32 @@
 using rank_index = number_id<struct rank_tag>;
 /// Generation of the sheet; rises by one with each accepted sheet.
 using sheet_generation = number_id<struct sheet_generation_tag>;
-/// Version of an object: the platform's global rising revision; 0 means that
-/// the object does not exist.
+/// Rises by one each time the platform's store is restored from a copy.
+using store_era = number_id<struct store_era_tag>;
+/// Version of an object: the platform's global rising revision, with the era of
+/// the store above it; 0 means that the object does not exist. A restored store
+/// gives out revisions again, so that revisions of two eras cannot be compared.
 using object_version = number_id<struct object_version_tag>;
+
+/// 10^12 revisions, 34 years at 1,000 writes a second; with 13 bits of eras a
+/// version is still exact in JSON readers that use doubles.
+constexpr unsigned revision_bits = 40;
+
+constexpr object_version make_version(store_era era, std::uint64_t revision)
+{
+    return object_version((era.value << revision_bits) | revision);
+}
+
+constexpr store_era era_of(object_version version)
+{
+    return store_era(version.value >> revision_bits);
+}
+
+constexpr std::uint64_t revision_of(object_version version)
+{
+    return version.value & ((std::uint64_t(1) << revision_bits) - 1);
+}
+
 /// Rises each time another process becomes owner of a control object.
 using owner_epoch = number_id<struct owner_epoch_tag>;
 /// Rises each time an agent process starts beside an upstream.
--- a/store/dialect.hpp
+++ b/store/dialect.hpp
@@ -65,6 +65,8 @@
     /// object does not exist.
     std::function<object_version(const net::http_response&)> parse_version;
     std::function<instance_list(const net::http_response&)> parse_instances;
+    /// The era that an answer of any status names; 0 when it names none.
+    std::function<store_era(const net::http_response&)> parse_era;
 };
 
 /// The project's own object API (docs/design.md, section 9).
--- a/store/http_store.cpp
+++ b/store/http_store.cpp
@@ -6,6 +6,7 @@
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
 #include <algorithm>
+#include <atomic>
 #include <set>
 
 namespace poplar::store
@@ -18,6 +19,7 @@
 using net::client_request;
 using net::client_result;
 using net::http_response;
+using observe::event;
 
 /// Unreadable entries that are remembered as logged; bounds the memory.
 constexpr std::size_t max_logged_entries = 10'000;
@@ -123,11 +125,15 @@
     {
         if (value.size() > max_value_bytes)
             throw store_error(store_failure::too_large, key.value);
+        if (is_of_earlier_era(expected))
+            return {put_status::conflict, get(key).version};
         return write(dialect_.put(key, value, expected));
     }
 
     put_result remove(const object_key& key, object_version expected) override
     {
+        if (is_of_earlier_era(expected))
+            return {put_status::conflict, get(key).version};
         return write(dialect_.remove(key, expected));
     }
 
@@ -145,6 +151,11 @@
 
     void stop_watches() override;
 
+    store_era era() const override
+    {
+        return store_era(era_);
+    }
+
 private:
     client_request make_request(store_call call) const
     {
@@ -162,8 +173,16 @@
     http_response read(store_call call)
     {
         const std::string what = call.method + " " + call.path;
-        return response_of(client_.fetch(make_request(std::move(call))),
-                           call_kind::read, what);
+        client_result result = client_.fetch(make_request(std::move(call)));
+        note_era(result, call_kind::read);
+        return response_of(std::move(result), call_kind::read, what);
+    }
+
+    store_era note_era(const client_result& result, call_kind kind);
+    /// The store may have given out the revision of such a version again.
+    bool is_of_earlier_era(object_version version) const
+    {
+        return version != object_version() && era_of(version) != era();
     }
 
     put_result write(store_call call);
@@ -172,6 +191,7 @@
 
     const http_store_options options_;
     const store_dialect dialect_;
+    std::atomic<std::uint64_t> era_ = 0;
     absl::Mutex mutex_;
     bool watches_stopped_ ABSL_GUARDED_BY(mutex_) = false;
     std::set<net::exchange_number> watches_ ABSL_GUARDED_BY(mutex_);
@@ -188,14 +208,33 @@
     const std::string what = call.method + " " + call.path;
     client_request request = make_request(std::move(call));
     request.fresh_connection = true;
+    client_result result = client_.fetch(std::move(request));
+    note_era(result, call_kind::write);
     const http_response r =
-        response_of(client_.fetch(std::move(request)), call_kind::write, what);
+        response_of(std::move(result), call_kind::write, what);
     const bool is_written = r.status == 200 || r.status == 201;
     return {is_written ? put_status::written : put_status::conflict,
             parse_answer(call_kind::write,
                          [&] { return dialect_.parse_version(r); })};
 }
 
+/// Answers of an earlier era may arrive late, on another connection.
+store_era http_store::note_era(const client_result& result, call_kind kind)
+{
+    if (result.failure != client_failure::none || !dialect_.parse_era)
+        return era();
+    const store_era named =
+        parse_answer(kind, [&] { return dialect_.parse_era(result.response); });
+    std::uint64_t known = era_;
+    while (known < named.value &&
+           !era_.compare_exchange_weak(known, named.value))
+        continue;
+    if (known != 0 && known < named.value)
+        observe::log(event::platform_store_restored,
+                     {{"era", named.value}, {"before", known}});
+    return named;
+}
+
 /// The revision is that of the first page: changes made while the others were
 /// read are seen again by a watch from there.
 object_list http_store::list(const std::string& prefix)
@@ -209,6 +248,9 @@
             call_kind::read, [&] { return dialect_.parse_page(prefix, r); });
         if (after.empty())
             all.revision = page.list.revision;
+        else if (era_of(page.list.revision) != era_of(all.revision))
+            throw store_error(store_failure::compacted,
+                              prefix + ": restored between two pages");
         log_unreadable(prefix, page.list.unreadable);
         std::ranges::move(page.list.objects, std::back_inserter(all.objects));
         after = std::move(page.next);
@@ -249,8 +291,13 @@
         if (watches_stopped_)
             throw watches_stopped();
     }
+    const store_era answered = note_era(result, call_kind::read);
     const http_response r =
         found(response_of(std::move(result), call_kind::read, what));
+    // A restored store may have given out the revision again: its answer then
+    // lacks the changes up to there.
+    if (answered != era_of(after))
+        throw store_error(store_failure::compacted, what + ": restored");
     object_list changes = parse_answer(
         call_kind::read, [&] { return dialect_.parse_changes(prefix, r); });
     log_unreadable(prefix, changes.unreadable);
@@ -268,7 +315,7 @@
         if (logged_.size() >= max_logged_entries)
             logged_.clear();
         if (logged_.insert(digest(it.reason, digest(where + it.name))).second)
-            observe::log(observe::event::platform_entry_unreadable,
+            observe::log(event::platform_entry_unreadable,
                          {{"list", where},
                           {"entry", excerpt(it.name)},
                           {"reason", it.reason}});
--- a/store/memory_store.cpp
+++ b/store/memory_store.cpp
@@ -16,7 +16,12 @@
     auto it = objects_.find(key);
     if (it == objects_.end() || it->second.removed)
         return {key, object_version(), ""};
-    return {key, it->second.version, it->second.value};
+    return {key, version_of(it->second), it->second.value};
+}
+
+object_version memory_store::version_of(const stored& at) const
+{
+    return at.removed ? object_version() : make_version(era_, at.revision);
 }
 
 put_result memory_store::write(const object_key& key, const std::string* value,
@@ -32,17 +37,18 @@
         throw store_error(store_failure::unknown_outcome, "request lost");
     }
     stored& at = objects_[key];
-    const object_version current = at.removed ? object_version() : at.version;
+    const object_version current =
+        at.revision == 0 ? object_version() : version_of(at);
     if (current != expected)
         return {put_status::conflict, current};
-    at = {object_version(++revision_), value ? *value : "", value == nullptr};
+    at = {++revision_, value ? *value : "", value == nullptr};
     ++writes_;
     if (faults_.lose_answers > 0)
     {
         --faults_.lose_answers;
         throw store_error(store_failure::unknown_outcome, "answer lost");
     }
-    return {put_status::written, at.version};
+    return {put_status::written, make_version(era_, at.revision)};
 }
 
 put_result memory_store::put(const object_key& key, const std::string& value,
@@ -59,16 +65,10 @@
 object_list memory_store::changes(const std::string& prefix,
                                   object_version after) const
 {
-    object_list result{object_version(revision_), {}};
+    object_list result{make_version(era_, revision_), {}, {}};
     for (const auto& [key, at] : objects_)
-    {
-        if (!key.value.starts_with(prefix) || at.version <= after)
-            continue;
-        if (at.removed)
-            result.objects.push_back({key, object_version(), ""});
-        else
-            result.objects.push_back({key, at.version, at.value});
-    }
+        if (key.value.starts_with(prefix) && at.revision > revision_of(after))
+            result.objects.push_back({key, version_of(at), at.value});
     return result;
 }
 
@@ -88,7 +88,7 @@
     absl::MutexLock lock(&mutex_);
     auto has_news = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
     {
-        return watches_stopped_ || faults_.outage ||
+        return watches_stopped_ || faults_.outage || era_ != era_of(after) ||
                !changes(prefix, after).objects.empty();
     };
     mutex_.AwaitWithTimeout(absl::Condition(&has_news),
@@ -96,9 +96,31 @@
     if (watches_stopped_)
         throw watches_stopped();
     check_available();
+    if (era_ != era_of(after) || revision_of(after) > revision_)
+        throw store_error(store_failure::compacted, "the store was restored");
     return changes(prefix, after);
 }
 
+store_era memory_store::era() const
+{
+    absl::MutexLock lock(&mutex_);
+    return era_;
+}
+
+memory_store::copy memory_store::make_copy() const
+{
+    absl::MutexLock lock(&mutex_);
+    return {objects_, revision_};
+}
+
+void memory_store::restore(const copy& earlier)
+{
+    absl::MutexLock lock(&mutex_);
+    objects_ = earlier.objects;
+    revision_ = earlier.revision;
+    era_ = store_era(era_.value + 1);
+}
+
 std::vector<instance_record> memory_store::instances()
 {
     absl::MutexLock lock(&mutex_);
--- a/store/memory_store.hpp
+++ b/store/memory_store.hpp
@@ -22,7 +22,22 @@
 
 class memory_store : public object_store
 {
+    /// Removed objects stay with an empty value so that watches see them.
+    struct stored
+    {
+        std::uint64_t revision = 0;
+        std::string value;
+        bool removed = false;
+    };
+
 public:
+    /// Contents at a moment.
+    struct copy
+    {
+        std::map<object_key, stored> objects;
+        std::uint64_t revision = 0;
+    };
+
     object get(const object_key& key) override;
     put_result put(const object_key& key, const std::string& value,
                    object_version expected) override;
@@ -32,7 +47,12 @@
                       duration timeout) override;
     std::vector<instance_record> instances() override;
     void stop_watches() override;
+    store_era era() const override;
 
+    copy make_copy() const;
+    /// Drops what was written since the copy was made. Revisions since then are
+    /// given out again, in a new era.
+    void restore(const copy& earlier);
     void set_faults(store_faults faults);
     void set_instances(std::vector<instance_record> records);
     std::uint64_t writes() const;
@@ -44,16 +64,13 @@
     object_list changes(const std::string& prefix, object_version after) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
+    object_version version_of(const stored& at) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
     mutable absl::Mutex mutex_;
-    /// Removed objects stay with an empty value so that watches see them.
-    struct stored
-    {
-        object_version version;
-        std::string value;
-        bool removed = false;
-    };
     std::map<object_key, stored> objects_ ABSL_GUARDED_BY(mutex_);
     std::uint64_t revision_ ABSL_GUARDED_BY(mutex_) = 0;
+    store_era era_ ABSL_GUARDED_BY(mutex_);
     std::uint64_t writes_ ABSL_GUARDED_BY(mutex_) = 0;
     store_faults faults_ ABSL_GUARDED_BY(mutex_);
     bool watches_stopped_ ABSL_GUARDED_BY(mutex_) = false;
--- a/store/object_store.hpp
+++ b/store/object_store.hpp
@@ -44,7 +44,7 @@
     rate_limited,    ///< Certainly without effect.
     unknown_outcome, ///< The answer was lost: a write may have taken effect.
     too_large,
-    compacted, ///< The watch revision is too old: list again.
+    compacted, ///< The watch revision is not to be had: list again.
     invalid
 };
 
@@ -125,10 +125,16 @@
     virtual object_list list(const std::string& prefix) = 0;
     /// Waits for changes after `after` for at most `timeout`. Objects with
     /// version 0 were removed. Several changes of one object come in the order
-    /// in which they were made. An empty list means the time has passed.
+    /// in which they were made. An empty list means the time has passed. Fails
+    /// with `compacted` when the store has been restored since `after`.
     virtual object_list watch(const std::string& prefix, object_version after,
                               duration timeout) = 0;
     virtual std::vector<instance_record> instances() = 0;
+    /// The era that the last answer named; 0 for a store that names none.
+    virtual store_era era() const
+    {
+        return {};
+    }
     /// Makes the watches that wait, and all later ones, throw watches_stopped
     /// at once, so that a process need not wait for them when it shuts down.
     /// The other calls go on working.
--- a/store/watcher.cpp
+++ b/store/watcher.cpp
@@ -164,6 +164,10 @@
 /// lists.
 void watcher::report_list(const object_list& list)
 {
+    const bool is_restored = revision_ != object_version() &&
+                             era_of(list.revision) != era_of(revision_);
+    if (is_restored && hooks_.restored)
+        hooks_.restored();
     std::set<object_key> present;
     for (const object& it : list.objects)
         present.insert(it.key);
--- a/store/watcher.hpp
+++ b/store/watcher.hpp
@@ -54,6 +54,9 @@
     /// True after the whole list was reported for the first time, and again
     /// after an outage; false when the platform cannot be reached.
     std::function<void(bool connected)> connection;
+    /// The store was restored from a copy. The objects of the copy follow, with
+    /// older contents than reported before; those that it lacks as removed.
+    std::function<void()> restored;
 };
 
 /// Reports every object with the prefix and then every change. Changes made
--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -83,7 +83,13 @@
         s.retries.slack = 100; // A gateway starts with a share of it.
         s.timeouts.close_delay = milliseconds(300);
         s.timeouts.drain_limit = milliseconds(1500);
-        gateway_ = std::make_unique<gateway>(s, store_);
+        gateway_ = std::make_unique<gateway>(s, store_of_gateway());
+    }
+
+    /// How the gateway reaches `store_`.
+    virtual store::object_store& store_of_gateway()
+    {
+        return store_;
     }
 
     void wait_until_ready()
--- a/tests/platform/object_server.cpp
+++ b/tests/platform/object_server.cpp
@@ -20,7 +20,7 @@
 std::string object_json(const object& o)
 {
     const std::string name = o.key.value.substr(o.key.value.find('/') + 1);
-    const json meta{{"name", name}, {"revision", o.version.value}};
+    const json meta{{"name", name}, {"revision", revision_of(o.version)}};
     return R"({"metadata":)" + meta.dump() + R"(,"spec":)" +
            (o.value.empty() ? "{}" : o.value) + "}";
 }
@@ -37,7 +37,7 @@
     for (const object& it : list.objects)
         rows += (rows.empty() ? "" : ",") +
                 (is_watch ? event_json(it) : object_json(it));
-    return R"({"asOf":)" + std::to_string(list.revision.value) +
+    return R"({"asOf":)" + std::to_string(revision_of(list.revision)) +
            (is_watch ? R"(,"events":[)" : R"(,"items":[)") + rows +
            R"(],"hasMore":false})";
 }
@@ -68,11 +68,20 @@
 void object_server::handle(const http_request& request,
                            const net::responder_ptr& out)
 {
+    const auto respond = [this, request, out]
+    {
+        const store_era before = store_.era();
+        http_response r = answer(request);
+        // An answer that was made around a restoration has no single era.
+        if (store_.era() != before)
+            r = net::json_response(503, "{}");
+        r.headers.push_back({"Store-Era", std::to_string(before.value)});
+        out->respond(std::move(r));
+    };
     if (request.query.find("watch=") == std::string::npos)
-        return out->respond(answer(request));
+        return respond();
     const std::lock_guard lock(mutex_);
-    watches_.emplace_back([this, request, out]
-                          { out->respond(answer(request)); });
+    watches_.emplace_back(respond);
 }
 
 http_response object_server::answer(const http_request& request)
@@ -83,12 +92,24 @@
         return request.method == "GET" ? answer_read(request, key)
                                        : answer_write(request, key);
     }
+    catch (const store::store_error& ec)
+    {
+        return net::json_response(
+            ec.failure() == store::store_failure::compacted ? 410 : 503, "{}");
+    }
     catch (const error&)
     {
         return net::json_response(503, "{}");
     }
 }
 
+/// A revision of an earlier era looks like one of this era.
+object_version object_server::version_of(std::uint64_t revision) const
+{
+    return revision == 0 ? object_version()
+                         : make_version(store_.era(), revision);
+}
+
 http_response object_server::answer_read(const http_request& request,
                                          const std::string& key)
 {
@@ -96,7 +117,8 @@
         return net::json_response(
             200,
             list_json(store_.watch(
-                          key + "/", object_version(number(request, "watch")),
+                          key + "/",
+                          make_version(store_.era(), number(request, "watch")),
                           std::chrono::milliseconds(number(request, "waitMs"))),
                       true));
     if (key.find('/') == std::string::npos)
@@ -111,8 +133,7 @@
 {
     if (request.method == "DELETE")
     {
-        store_.remove(object_key(key),
-                      object_version(number(request, "revision")));
+        store_.remove(object_key(key), version_of(number(request, "revision")));
         return net::json_response(200, object_json({}));
     }
     const json body = json::parse(request.body);
@@ -121,7 +142,7 @@
     const object_key full(request.method == "POST" ? key + "/" + name : key);
     const store::put_result r =
         store_.put(full, body.at("spec").dump(),
-                   object_version(meta.value("revision", std::uint64_t(0))));
+                   version_of(meta.value("revision", std::uint64_t(0))));
     const bool is_written = r.status == store::put_status::written;
     return net::json_response(is_written ? 200 : 409,
                               object_json(store_.get(full)));
--- a/tests/platform/object_server.hpp
+++ b/tests/platform/object_server.hpp
@@ -31,6 +31,7 @@
     void handle(const net::http_request& request,
                 const net::responder_ptr& out);
     net::http_response answer(const net::http_request& request);
+    object_version version_of(std::uint64_t revision) const;
     net::http_response answer_read(const net::http_request& request,
                                    const std::string& key);
     net::http_response answer_write(const net::http_request& request,
