Gateway: register again after the store was restored

What was seen: a gateway that had registered after the copy was made stayed out of the list of gateways until its restart. Peers sent it no load reports and divided retries and connections without it.

Cause: the registration is written once, and the version of that write was taken as proof that it is there. It now counts only in the era in which it was written. The registration is removed at the end of the process also when the store has been restored since.

gateway_restored_store_test, registers_its_gateway_again: failed before, passes.

--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -119,7 +119,9 @@
 
 void engine_control::ensure_registered()
 {
-    if (registration_version_ != object_version())
+    // A restored store may have lost the registration.
+    if (registration_version_ != object_version() &&
+        era_of(registration_version_) == store_.era())
         return;
     const object_key key(gateway_prefix + options_.instance.value);
     const std::string value = encode_registration(options_.peer);
@@ -137,7 +139,12 @@
     const object_key key(gateway_prefix + options_.instance.value);
     try
     {
-        store_.remove(key, registration_version_);
+        const store::put_result result =
+            store_.remove(key, registration_version_);
+        // The same registration has another version in a restored store.
+        if (result.status == store::put_status::conflict &&
+            era_of(result.version) != era_of(registration_version_))
+            store_.remove(key, result.version);
     }
     catch (const store::store_error& ec)
     {
--- a/tests/platform/gateway_restored_store_test.cpp
+++ b/tests/platform/gateway_restored_store_test.cpp
@@ -126,6 +126,26 @@
         ASSERT_EQ(fetch_status("/added/x"), "200");
 }
 
+TEST_F(restored_store_test, registers_its_gateway_again)
+{
+    const object_key key("gateways/g");
+    const auto copy = store_.make_copy();
+    add_upstream("i-a", a_.address(), "desk");
+    start(1);
+    const auto is_registered = [&]
+    {
+        for (const mono_time end = now() + seconds(3); now() < end;)
+            if (store_.get(key).version != object_version())
+                return true;
+            else
+                std::this_thread::sleep_for(milliseconds(20));
+        return false;
+    };
+    ASSERT_TRUE(is_registered());
+    restore(copy, [](store::memory_store&) {});
+    EXPECT_TRUE(is_registered());
+}
+
 // The store accepts a write against a revision that it has given out again.
 TEST_F(restored_store_test, refuses_a_write_against_a_version_before_it)
 {
