Fleet: what is known of leaving upstreams outlives a restored store

What was seen: an upstream whose entry had been removed got requests again when the store came back from a copy that still had the entry.

Cause: the newest list of the store was taken for the newest state. An entry of the copy says nothing about an upstream that has left since. A process that drains stays out of use whatever the copy says; one whose entry was removed stays out until the store has had time to remove the entry again (three heartbeats and a margin). Entries that the copy lacks count as lapsed, as after an outage, so that their upstreams stay in use until they have registered again.

--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -84,7 +84,11 @@
     }
     u->record = record;
     u->lapse_deadline = {};
-    ended_.erase({u->key, record.started_ms});
+    if (may_have_ended(*u, now()))
+        u->health.mark_reported_leaving(store_restored_at_ +
+                                        settings_.ended_entry_time);
+    else
+        ended_.erase({u->key, record.started_ms});
     u->placed.id = record.id.value;
     u->placed.failure_domain = record.failure_domain;
     u->placed.stage = placed_stage_of(record.stage);
@@ -118,13 +122,25 @@
         note_process_ended(*u);
         return erase(u);
     }
-    u->lapse_deadline = (store_connected_ ? store_back_at_ : now) +
-                        settings_.reregistration_time;
+    u->lapse_deadline =
+        std::max(store_connected_ ? store_back_at_ : now, store_restored_at_) +
+        settings_.reregistration_time;
 }
 
-/// True if an entry that disappears now may have expired in a store outage.
+bool fleet::may_have_ended(const upstream& u, mono_time now) const
+{
+    return store_restored_at_ != mono_time{} &&
+           now - store_restored_at_ < settings_.ended_entry_time &&
+           ended_.contains({u.key, u.record.started_ms});
+}
+
+/// True if an entry that disappears now may have expired in a store outage, or
+/// may have been written after the copy that the store was restored from.
 bool fleet::may_lapse(mono_time now) const
 {
+    if (store_restored_at_ != mono_time{} &&
+        now - store_restored_at_ < settings_.lapse_window)
+        return true;
     if (!store_connected_)
         return now - store_lost_at_ > settings_.min_lapsing_outage;
     return store_outage_ > settings_.min_lapsing_outage &&
@@ -326,6 +342,15 @@
     store_connected_ = connected;
 }
 
+/// A process that drains does not return to service, whatever the copy says.
+void fleet::set_store_restored(mono_time now)
+{
+    store_restored_at_ = now;
+    for (const auto& [id, u] : upstreams_)
+        if (u->record.state == upstream_state::draining)
+            u->health.mark_leaving();
+}
+
 void fleet::set_retries(const policy::retry_budget_settings& retries)
 {
     settings_.retries = retries;
@@ -353,7 +378,7 @@
     discard_old_breaks(now);
     log_limited_calls(now);
     std::erase_if(ended_, [&](const auto& it)
-                  { return now - it.second >= settings_.ended_report_time; });
+                  { return now - it.second >= settings_.ended_memory; });
 }
 
 void fleet::close_idle_connections()
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -112,6 +112,12 @@
     /// Time after the reconnection by which live upstreams have registered
     /// again.
     duration reregistration_time{std::chrono::milliseconds(2000)};
+    /// Time after which a restored store has removed the entries of upstreams
+    /// that have ended since its copy was made.
+    duration ended_entry_time{std::chrono::seconds(5)};
+    /// Time for which ended upstreams are remembered; copies of the store are
+    /// some seconds old.
+    duration ended_memory{std::chrono::seconds(60)};
     /// Time for which an upstream is not used after a peer gateway reported it
     /// as leaving; peers repeat the upstream in each report.
     duration reported_leaving_timeout{std::chrono::milliseconds(2000)};
@@ -133,6 +139,9 @@
     void remove(const upstream_id& id, mono_time now);
     /// Applies the limits that operators configured for services.
     void configure(const configuration& config);
+    /// Records that the store was restored from a copy: entries that follow may
+    /// be older than those known, and live upstreams may be missing.
+    void set_store_restored(mono_time now);
     /// Records that the connection to the store was lost or restored.
     void set_store_connected(bool connected, mono_time now);
     /// Changes the retry budget settings of all services.
@@ -256,6 +265,10 @@
     absl::flat_hash_map<std::uint64_t, upstream_ptr> by_key_;
     std::map<service_id, service> configured_;
     std::map<upstream_id, saved_health> saved_health_;
+    /// True if the upstream's entry was removed before the store was restored
+    /// and the copy still has it.
+    bool may_have_ended(const upstream& u, mono_time now) const;
+
     /// Upstreams whose entries were removed, with the time of the removal.
     std::map<leaving_upstream, mono_time> ended_;
     policy::fatal_block_detector fatal_blocks_;
@@ -267,6 +280,7 @@
     bool store_connected_ = false;
     mono_time store_lost_at_{};
     mono_time store_back_at_{};
+    mono_time store_restored_at_{};
     duration store_outage_{}; ///< Length of the last outage.
 };
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -79,8 +79,9 @@
 {
     fleet_settings f;
     f.retries = retry_budget_of(s.retries, assumed_gateway_count);
-    f.min_lapsing_outage = s.timeouts.heartbeat * missed_heartbeats_to_lapse -
-                           outage_detection_margin;
+    const duration lapse = s.timeouts.heartbeat * missed_heartbeats_to_lapse;
+    f.min_lapsing_outage = lapse - outage_detection_margin;
+    f.ended_entry_time = lapse + outage_detection_margin;
     return f;
 }
 
@@ -186,6 +187,11 @@
     {
         asio::post(loop_, [this, o] { on_upstream(o); });
     };
+    hooks.restored = [this]
+    {
+        asio::post(loop_,
+                   [this] { state_.upstreams.set_store_restored(now()); });
+    };
     hooks.connection = [this](bool connected)
     {
         asio::post(loop_, [this, connected]
@@ -201,6 +207,7 @@
     {
         asio::post(loop_, [this, o] { on_gateway(o); });
     };
+    hooks.restored = nullptr;
     hooks.connection = nullptr;
     gateway_watcher_ = std::make_unique<store::watcher>(store_, options, hooks);
 }
--- a/tests/platform/gateway_restored_store_test.cpp
+++ b/tests/platform/gateway_restored_store_test.cpp
@@ -64,6 +64,30 @@
         return false;
     }
 
+    /// Number of requests that the upstream serves in the time.
+    unsigned count_served_by(const std::string& name, duration time)
+    {
+        unsigned n = 0;
+        for (const mono_time end = now() + time; now() < end;)
+        {
+            const std::string answer =
+                fetch(request("/safe/x", "r" + std::to_string(++requests_)));
+            EXPECT_EQ(status_of(answer), "200") << answer;
+            n += answer.find("served by " + name) != std::string::npos ? 1 : 0;
+        }
+        return n;
+    }
+
+    void set_state(const char* id, const ip_address& at, const char* state)
+    {
+        put(std::string("servers/") + id, {{"service", "desk"},
+                                           {"address", to_string(at)},
+                                           {"zone", "z"},
+                                           {"slots", 8},
+                                           {"state", state},
+                                           {"born", 1}});
+    }
+
     platform::object_server server_{store_};
     std::unique_ptr<store::object_store> client_ = store::make_http_store(
         {server_.address()}, platform::make_object_dialect());
@@ -126,6 +150,46 @@
         ASSERT_EQ(fetch_status("/added/x"), "200");
 }
 
+TEST_F(restored_store_test, does_not_use_a_draining_upstream_again)
+{
+    add_upstream("i-a", a_.address(), "desk");
+    add_upstream("i-b", b_.address(), "desk");
+    start(1);
+    const auto copy = store_.make_copy();
+    set_state("i-a", a_.address(), "draining");
+    std::this_thread::sleep_for(milliseconds(400));
+    ASSERT_EQ(count_served_by("a", milliseconds(300)), 0U);
+    restore(copy, [](store::memory_store&) {});
+    EXPECT_EQ(count_served_by("a", milliseconds(1500)), 0U);
+}
+
+TEST_F(restored_store_test, does_not_use_an_ended_upstream_again)
+{
+    add_upstream("i-a", a_.address(), "desk");
+    add_upstream("i-b", b_.address(), "desk");
+    start(1);
+    const auto copy = store_.make_copy();
+    const object_key a("servers/i-a");
+    store_.remove(a, store_.get(a).version);
+    std::this_thread::sleep_for(milliseconds(400));
+    ASSERT_EQ(count_served_by("a", milliseconds(300)), 0U);
+    restore(copy, [](store::memory_store&) {});
+    EXPECT_EQ(count_served_by("a", milliseconds(1500)), 0U);
+}
+
+TEST_F(restored_store_test, keeps_an_upstream_that_the_copy_lacks)
+{
+    add_upstream("i-b", b_.address(), "writers");
+    start(1);
+    const auto copy = store_.make_copy();
+    add_upstream("i-a", a_.address(), "desk");
+    ASSERT_TRUE(becomes_served("/safe/x"));
+    restore(copy, [](store::memory_store&) {});
+    EXPECT_GT(count_served_by("a", seconds(1)), 0U);
+    add_upstream("i-a", a_.address(), "desk");
+    EXPECT_GT(count_served_by("a", seconds(2)), 0U);
+}
+
 TEST_F(restored_store_test, registers_its_gateway_again)
 {
     const object_key key("gateways/g");
