Connections: a peer that does not read is not taken for a vanished one

What callers saw: a caller that did not read for 2.5 s in the middle of a large answer lost the rest; a request of some MiB to an upstream that began to read it only after 2.5 s was answered with 502 although the upstream was sound.

Cause: TCP_USER_TIMEOUT of 1.5 s, set to notice vanished peers, also counts while the peer's window is closed. Callers now have the 10 s that one write to them may take; a request to an upstream that may not fit into its receive buffer (above 16 KiB) has the time that is left. Shorter requests keep the 1.5 s: their data is acknowledged by the kernel of any live peer.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -28,7 +28,8 @@
 /// Interval of checks of a connection that was idle for too long and on which
 /// a request is arriving.
 constexpr duration idle_check_interval = std::chrono::milliseconds(100);
-/// Timeout of one write to a caller that does not read.
+/// Timeout of one write to a caller that does not read; also for written data
+/// that the kernel has not sent.
 constexpr duration write_timeout = std::chrono::seconds(10);
 
 asio::redirect_error_t<asio::use_awaitable_t<>> redirect_to(error_code& ec)
@@ -89,6 +90,8 @@
 {
     const auto self = shared_from_this();
     set_socket_options(stream_.socket());
+    net::set_unacknowledged_limit(stream_.socket().native_handle(),
+                                  write_timeout);
     while (keep_alive_ && !is_failed_)
     {
         if (!co_await wait_for_request())
--- a/gateway/connections.cpp
+++ b/gateway/connections.cpp
@@ -1,7 +1,5 @@
 #include "gateway/connections.hpp"
 
-#include "net/socket.hpp"
-
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/gateway/connections.hpp
+++ b/gateway/connections.hpp
@@ -4,6 +4,7 @@
 #include "base/address.hpp"
 #include "base/time.hpp"
 #include "gateway/types.hpp"
+#include "net/socket.hpp"
 
 // Boost.Asio 1.74 uses std::exchange without including its header.
 #include <utility>
@@ -49,6 +50,7 @@
     /// when it has not said.
     duration idle_timeout{};
     unsigned requests = 0; ///< Completed before the current one.
+    duration unacknowledged_limit = net::unacknowledged_limit;
     /// Requests that the upstream refused on this connection; it may write
     /// their refusals once more.
     std::vector<attempt_id> refused;
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -25,6 +25,9 @@
 /// Size limit of a skipped answer, which may be endless.
 constexpr std::size_t max_skipped_bytes = 256 << 10;
 constexpr std::uint32_t max_head_size = 16 << 10; // bytes
+/// Fits into the receive buffer of an upstream that does not read yet. A longer
+/// request is held back by an upstream that reads slowly.
+constexpr std::size_t max_buffered_request = 16 << 10; // bytes
 
 } // namespace
 
@@ -218,12 +221,27 @@
     sent_at_ = now();
     outgoing_ =
         std::make_shared<outgoing>(std::move(request_.head), request_.body);
+    set_unacknowledged_limit();
     http::async_write(
         connection_->stream, outgoing_->message,
         [out = outgoing_, c = connection_](error_code ec, std::size_t)
         { out->is_written = !ec; });
 }
 
+/// An upstream that vanishes while it receives a long request is noticed only
+/// at the deadline or when the call stalls.
+void upstream_call::set_unacknowledged_limit()
+{
+    const duration limit = request_.body->size() > max_buffered_request
+                               ? time_left()
+                               : net::unacknowledged_limit;
+    if (limit == connection_->unacknowledged_limit)
+        return;
+    connection_->unacknowledged_limit = limit;
+    net::set_unacknowledged_limit(connection_->stream.socket().native_handle(),
+                                  limit);
+}
+
 asio::awaitable<call_status> upstream_call::read_head()
 {
     parser_.emplace();
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -124,6 +124,7 @@
     duration time_left() const;
     asio::awaitable<call_status> connect();
     void send();
+    void set_unacknowledged_limit();
     asio::awaitable<call_status> read_head();
     asio::awaitable<call_status> skip_body();
     call_status status_of(const error_code& ec);
--- a/net/socket.cpp
+++ b/net/socket.cpp
@@ -22,9 +22,6 @@
 /// A connection is silent after this many probes without an answer.
 constexpr int silence_probes = 2;
 constexpr int silence_probe_seconds = 1;
-/// Data may be unacknowledged for this long; several round trips and one
-/// retransmission fit.
-constexpr int unacknowledged_ms = 1500;
 constexpr int keepalive_idle_seconds = 15;
 constexpr int keepalive_interval_seconds = 5;
 constexpr int keepalive_probes = 3;
@@ -88,7 +85,13 @@
     set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, silence_probe_seconds);
     set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, silence_probe_seconds);
     set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, silence_probes);
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+    set_unacknowledged_limit(socket, unacknowledged_limit);
+}
+
+void set_unacknowledged_limit(int socket, duration limit)
+{
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               int(to_milliseconds(limit)));
 }
 
 int listen_on(const ip_address& at)
--- a/tests/platform/gateway_pause_test.cpp
+++ b/tests/platform/gateway_pause_test.cpp
@@ -31,5 +31,39 @@
 INSTANTIATE_TEST_SUITE_P(pauses, slow_reader,
                          testing::Values(1000, 2500, 4000));
 
+class slow_upstream : public gateway_test,
+                      public testing::WithParamInterface<int>
+{
+};
+
+// The kernel ended the connection to an upstream that reads a long request only
+// after a pause.
+TEST_P(slow_upstream, receives_the_whole_request)
+{
+    scripted_upstream u(
+        [](const std::string& head) -> scripted_answer {
+            return {whole_answer(200, field_of(head, "Attempt-Id"),
+                                 "end of answer")};
+        });
+    u.pause_before_reading(milliseconds(GetParam()));
+    add_upstream("i-1", u.address(), "desk");
+    json c = configuration_json(1);
+    c["limits"]["maxBodyBytes"] = 8 << 20;
+    for (json& it : c["routes"])
+        it["timeoutMs"] = 8000;
+    put("config/main", c);
+    start_without_configuration();
+    wait_until_ready();
+    scripted_caller caller(gateway_->address());
+    const std::string body(6 << 20, 'x');
+    caller.send("POST /once/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n"
+                "Deadline-Ms: 8000\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+    EXPECT_EQ(status_of(caller.read_until("end of answer", seconds(8))), "200");
+}
+
+INSTANTIATE_TEST_SUITE_P(pauses, slow_upstream,
+                         testing::Values(1000, 2500, 4000));
+
 } // namespace
 } // namespace poplar::gateway
--- a/tests/platform/scripted_upstream.cpp
+++ b/tests/platform/scripted_upstream.cpp
@@ -64,6 +64,12 @@
     ::close(listener_);
 }
 
+void scripted_upstream::pause_before_reading(duration pause)
+{
+    absl::MutexLock lock(&mutex_);
+    pause_before_reading_ = pause;
+}
+
 ip_address scripted_upstream::address() const
 {
     return net::local_address(listener_);
@@ -129,6 +135,12 @@
 void scripted_upstream::serve(int socket)
 {
     std::string bytes;
+    duration pause{};
+    {
+        absl::MutexLock lock(&mutex_);
+        pause = pause_before_reading_;
+    }
+    std::this_thread::sleep_for(pause);
     while (true)
     {
         {
--- a/tests/platform/scripted_upstream.hpp
+++ b/tests/platform/scripted_upstream.hpp
@@ -42,6 +42,9 @@
     scripted_upstream(const scripted_upstream&) = delete;
     scripted_upstream& operator=(const scripted_upstream&) = delete;
 
+    /// Connections accepted from now on are read only after this time.
+    void pause_before_reading(duration pause);
+
     ip_address address() const;
     std::vector<std::string> heads() const;
     /// Number of connections accepted so far.
@@ -65,6 +68,7 @@
     bool is_stopping_ ABSL_GUARDED_BY(mutex_) = false;
     std::vector<std::string> heads_ ABSL_GUARDED_BY(mutex_);
     unsigned abandoned_connections_ ABSL_GUARDED_BY(mutex_) = 0;
+    duration pause_before_reading_ ABSL_GUARDED_BY(mutex_){};
     std::size_t sent_piece_bytes_ ABSL_GUARDED_BY(mutex_) = 0;
     std::vector<std::thread> connections_ ABSL_GUARDED_BY(mutex_);
     std::thread acceptor_;
