HTTP client: an answer that breaks off in its head is a failure

Callers of the client (agents, the store, poplarctl, control) got a success with the status of the answer and an empty body when the server closed the connection after the status line and before the empty line. A 404 of the store that was cut there counted as a missing object, and a 200 of a service as a whole answer without body.

Cause: libcurl reports CURLE_OK for such an answer; it takes the end of the connection for the end of the head.

The transfer now notes the empty line that ends the head, which libcurl passes to the header callback, and reports "broken" without it. A status line starts over, so that an interim answer (1xx) does not count as the head.

Accepted as whole: chunks without the very last LF, where libcurl ends the body, which is complete there.

--- a/net/transfer.cpp
+++ b/net/transfer.cpp
@@ -144,6 +144,7 @@
 {
     if (line.starts_with("HTTP/"))
         return begin_headers(line);
+    has_whole_head_ = has_whole_head_ || trim(line).empty();
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
         return;
@@ -155,6 +156,7 @@
 void transfer::begin_headers(std::string_view status_line)
 {
     result_.response.headers.clear();
+    has_whole_head_ = false;
     // A faulty server may write a refusal once more. As answers carry no id, it
     // would be taken for the answer to the next request of the connection.
     const std::size_t space = status_line.find(' ');
@@ -204,6 +206,9 @@
 
 void transfer::finish(CURLcode code)
 {
+    // libcurl reports an answer that ends within its head as complete.
+    if (code == CURLE_OK && !has_whole_head_)
+        return fail(client_failure::broken, "the head of the answer broke off");
     fail(classify(code), code == CURLE_OK ? "" : curl_easy_strerror(code));
 }
 
--- a/net/transfer.hpp
+++ b/net/transfer.hpp
@@ -61,7 +61,8 @@
     curl_slist* header_list_ = nullptr;
     client_result result_;
     bool sent_ = false; ///< The request may have left.
-    mono_time end_;     ///< Limit for the whole exchange.
+    bool has_whole_head_ = false;
+    mono_time end_; ///< Limit for the whole exchange.
     bool paused_ = false;
     mono_time last_bytes_;
 };
