Object API: the era of a restored store, and a stand-in that is restored

The product's own object API had no way to tell that its store was restored from a copy: revisions go back and are given out again, so that a version of before could fit another object.

Answers name the era in X-Store-Era, absent for era 0; revisions on the wire stay as they are. A write with If-Match names the era of its version in the same header and gets 409 in another one, since a writer may send it before it has had an answer of the new era. The stand-in platform copies its objects and goes back to the copy through POST /admin/faults.

--- a/standin/platform/api.cpp
+++ b/standin/platform/api.cpp
@@ -21,6 +21,7 @@
 constexpr std::int64_t longest_watch_ms = 60000;
 const std::string objects_path = "/v1/objects/";
 const std::string instances_path = "/admin/instances/";
+const std::string era_header = "X-Store-Era";
 
 std::string dump(const json& j)
 {
@@ -60,6 +61,13 @@
     return std::nullopt;
 }
 
+/// False when the version that the write expects is of another era.
+bool expects_era(const http_request& request, std::uint64_t era)
+{
+    const auto* named = net::find_header(request.headers, era_header);
+    return !named || parse_number(*named) == era;
+}
+
 void read_faults(const json& j, fault_settings& f)
 {
     const auto milliseconds = [&](const char* key, duration present) -> duration
@@ -88,8 +96,8 @@
 } // namespace
 
 platform_api::platform_api(const platform_settings& settings)
-    : objects_(settings.history), faults_(settings.faults),
-      read_bucket_(settings.faults.reads_per_s),
+    : objects_(settings.history), copy_(settings.history),
+      faults_(settings.faults), read_bucket_(settings.faults.reads_per_s),
       write_bucket_(settings.faults.writes_per_s)
 {
 }
@@ -102,6 +110,7 @@
     {
         absl::MutexLock lock(&mutex_);
         out = dispatch(request, answer);
+        add_era(out);
     }
     catch (const json::exception& ec)
     {
@@ -114,6 +123,14 @@
     send(std::move(out));
 }
 
+void platform_api::add_era(replies& out) const
+{
+    if (era_ == 0)
+        return;
+    for (reply& it : out)
+        it.response.headers.push_back({era_header, std::to_string(era_)});
+}
+
 void platform_api::send(replies out)
 {
     duration latency;
@@ -211,7 +228,9 @@
     if (request.method == "PUT")
         value = request.body;
     const write_result result =
-        objects_.write(key, std::move(value), *expected);
+        expects_era(request, era_)
+            ? objects_.write(key, std::move(value), *expected)
+            : write_result{false, objects_.version_of(key)};
     if (!result.written)
     {
         ++counters_.conflicts;
@@ -285,6 +304,7 @@
                            {"changes", json::array()}};
         out.push_back({it->second.answer, json_response(200, dump(nothing))});
         watches_.erase(it);
+        add_era(out);
     }
     send(std::move(out));
 }
@@ -307,12 +327,17 @@
 platform_api::replies platform_api::set_faults(const std::string& body,
                                                const responder_ptr& answer)
 {
-    read_faults(json::parse(body), faults_);
+    const json wanted = json::parse(body);
+    read_faults(wanted, faults_);
     read_bucket_.set_rate(faults_.reads_per_s);
     write_bucket_.set_rate(faults_.writes_per_s);
     const std::string text = dump(to_json(faults_));
     observe::log(observe::event::platform_faults_changed, {{"faults", text}});
     replies out{{answer, json_response(200, text)}};
+    if (wanted.value("copy", false))
+        copy_ = objects_;
+    if (wanted.value("restore", false))
+        restore(out);
     if (faults_.outage)
     {
         for (const auto& [number, w] : watches_)
@@ -322,6 +347,15 @@
     return out;
 }
 
+void platform_api::restore(replies& out)
+{
+    objects_ = copy_;
+    ++era_;
+    for (const auto& [number, w] : watches_)
+        out.push_back({w.answer, error_response(410, "compacted")});
+    watches_.clear();
+}
+
 http_response platform_api::counters() const
 {
     const call_counters& c = counters_;
@@ -335,7 +369,8 @@
                                     {"refused_in_outage", c.refused_in_outage},
                                     {"lost_answers", c.lost_answers},
                                     {"waiting_watches", watches_.size()},
-                                    {"revision", objects_.revision()}}));
+                                    {"revision", objects_.revision()},
+                                    {"era", era_}}));
 }
 
 } // namespace poplar::standin_platform
--- a/standin/platform/api.hpp
+++ b/standin/platform/api.hpp
@@ -80,9 +80,15 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void end_watch(std::uint64_t number);
     void send(replies out);
+    /// Adds the era of the store to all answers; none names era 0.
+    void add_era(replies& out) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// Goes back to the copy, or to an empty store if none was made.
+    void restore(replies& out) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     absl::Mutex mutex_;
     object_table objects_ ABSL_GUARDED_BY(mutex_);
+    object_table copy_ ABSL_GUARDED_BY(mutex_);
+    std::uint64_t era_ ABSL_GUARDED_BY(mutex_) = 0;
     lagging_instances instances_ ABSL_GUARDED_BY(mutex_);
     fault_settings faults_ ABSL_GUARDED_BY(mutex_);
     token_bucket read_bucket_ ABSL_GUARDED_BY(mutex_);
--- a/standin/platform/objects.cpp
+++ b/standin/platform/objects.cpp
@@ -26,13 +26,18 @@
     return it == objects_.end() || !it->second.value ? nullptr : &it->second;
 }
 
+std::uint64_t object_table::version_of(const std::string& key) const
+{
+    const stored_object* present = find(key);
+    return present ? present->version : 0;
+}
+
 write_result object_table::write(const std::string& key,
                                  std::optional<std::string> value,
                                  std::uint64_t expected)
 {
-    const stored_object* present = find(key);
-    const std::uint64_t current = present ? present->version : 0;
-    if (current != expected || (!present && !value))
+    const std::uint64_t current = version_of(key);
+    if (current != expected || (current == 0 && !value))
         return {false, current};
     objects_[key] = {++revision_, std::move(value)};
     changes_.push_back({revision_, key});
--- a/standin/platform/objects.hpp
+++ b/standin/platform/objects.hpp
@@ -33,6 +33,8 @@
 
     /// Null when the object does not exist.
     const stored_object* find(const std::string& key) const;
+    /// 0 when the object does not exist.
+    std::uint64_t version_of(const std::string& key) const;
     /// Writes, or removes without a value, when `expected` is the current
     /// version (0: not existing).
     write_result write(const std::string& key, std::optional<std::string> value,
--- a/store/api_json.cpp
+++ b/store/api_json.cpp
@@ -117,17 +117,21 @@
 
 } // namespace
 
-object_list parse_objects(const std::string& body, const std::string& member)
+object_list parse_objects(const std::string& body, const std::string& member,
+                          store_era era)
 {
     const auto answer = split_json_object(body);
     object_list list;
-    list.revision = object_version(json_integer<std::uint64_t>(
-        parse_json(json_member_at(answer, "revision"))));
+    list.revision = make_version(era, json_integer<std::uint64_t>(parse_json(
+                                          json_member_at(answer, "revision"))));
     for (const std::string_view it :
          split_json_array(json_member_at(answer, member)))
         try
         {
-            list.objects.push_back(parse_row(it, list.unreadable));
+            object& o =
+                list.objects.emplace_back(parse_row(it, list.unreadable));
+            if (o.version != object_version())
+                o.version = make_version(era, o.version.value);
         }
         catch (const parse_error& ec)
         {
--- a/store/api_json.hpp
+++ b/store/api_json.hpp
@@ -11,8 +11,9 @@
 
 /// Body of a list ("objects") or watch ("changes") answer. Objects whose value
 /// is null get version 0; one whose value cannot be read gets an empty value.
-/// Throws parse_error.
-object_list parse_objects(const std::string& body, const std::string& member);
+/// `era` is that of the answer. Throws parse_error.
+object_list parse_objects(const std::string& body, const std::string& member,
+                          store_era era);
 
 /// Body of the instance list. Rows of an unknown kind are left out, so that
 /// the platform may add kinds. Throws parse_error.
