Store in memory: an object whose update was refused does not exist

After a restore, a refused update of an object that the copy lacks left an empty object that reads with a version other than 0, so that its creation conflicted for ever. Only tests use this store.

restored_memory_store.lacks_an_object_whose_update_was_refused failed before, passes now.

--- a/store/memory_store.cpp
+++ b/store/memory_store.cpp
@@ -21,7 +21,8 @@
 
 object_version memory_store::version_of(const stored& at) const
 {
-    return at.removed ? object_version() : make_version(era_, at.revision);
+    return at.removed || at.revision == 0 ? object_version()
+                                          : make_version(era_, at.revision);
 }
 
 put_result memory_store::write(const object_key& key, const std::string* value,
@@ -37,8 +38,7 @@
         throw store_error(store_failure::unknown_outcome, "request lost");
     }
     stored& at = objects_[key];
-    const object_version current =
-        at.revision == 0 ? object_version() : version_of(at);
+    const object_version current = version_of(at);
     if (current != expected)
         return {put_status::conflict, current};
     at = {++revision_, value ? *value : "", value == nullptr};
--- a/tests/restored_platform_test.cpp
+++ b/tests/restored_platform_test.cpp
@@ -1,6 +1,6 @@
 // Guards against versions of an earlier era that are taken for present ones
 // after the stand-in platform was restored from a copy.
-#include "store/watcher.hpp"
+#include "store/memory_store.hpp"
 #include "tests/platform_process.hpp"
 
 #include <atomic>
@@ -117,5 +117,15 @@
     EXPECT_THROW(store->watch("sheet/", held, milliseconds(200)), store_error);
 }
 
+TEST(restored_memory_store, lacks_an_object_whose_update_was_refused)
+{
+    memory_store store;
+    const auto empty = store.make_copy();
+    const object_version held = store.put(a, "1", absent).version;
+    store.restore(empty);
+    ASSERT_EQ(store.put(a, "2", held).status, put_status::conflict);
+    EXPECT_EQ(store.get(a).version, absent);
+}
+
 } // namespace
 } // namespace poplar::store
