Order lease: a process that starts after a restoration waits, too

What was seen: a gateway's process that started just after the store had been restored from a copy without the record took the lease at once, while the holder before could still send orders: less than 3 s lay between the orders of two holders.

Cause: only an era that rose while the process ran counted as a restoration. A new process now waits for the whole hand-over time when it finds no record in a store whose era is above the first one. Eras are taken to begin at 1; a new store that names era 1, or none, is used without that wait.

order_lease_test: is_not_taken_at_once_by_a_process_that_starts_later and the history with replaced processes (falsified after 31 cases) failed without the change, all 9 cases pass with it. is_taken_at_once_in_a_new_store passed before and after.

--- a/gateway/order_lease.cpp
+++ b/gateway/order_lease.cpp
@@ -5,6 +5,14 @@
 namespace poplar::gateway
 {
 
+namespace
+{
+
+/// Era of a store that has not been restored; 0 for one that names none.
+constexpr store_era first_era{1};
+
+} // namespace
+
 order_lease::order_lease(store::object_store& store,
                          order_lease_settings settings, clock_source clock)
     : store_(store), settings_(std::move(settings)), clock_(std::move(clock))
@@ -19,7 +27,8 @@
 void order_lease::follow_era()
 {
     const store_era present = store_.era();
-    if (era_ && *era_ != present)
+    // A new process does not know when an earlier restoration took place.
+    if (era_ ? *era_ != present : present > first_era)
     {
         was_restored_ = true;
         observe(object_version());
--- a/tests/gateway/order_lease_test.cpp
+++ b/tests/gateway/order_lease_test.cpp
@@ -14,14 +14,24 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// A store that has not been restored; eras begin at 1.
+struct first_era_store : store::memory_store
+{
+    first_era_store()
+    {
+        restore(make_copy());
+    }
+};
+
 /// A lease holder with a clock of its own.
 struct test_gateway
 {
-    mono_time time{};
+    mono_time time;
     order_lease lease;
 
-    test_gateway(store::object_store& store, const char* name)
-        : lease(store, {.holder = name}, [this] { return time; })
+    test_gateway(store::object_store& store, const char* name,
+                 mono_time start = {})
+        : time(start), lease(store, {.holder = name}, [this] { return time; })
     {
         lease.follow_era();
     }
@@ -102,13 +112,36 @@
     EXPECT_FALSE(a.lease.acquire());
 }
 
+TEST(order_lease, is_not_taken_at_once_by_a_process_that_starts_later)
+{
+    first_era_store store;
+    test_gateway a(store, "a");
+    const auto copy = store.make_copy();
+    ASSERT_TRUE(a.lease.acquire());
+    store.restore(copy);
+    test_gateway b(store, "b");
+    EXPECT_FALSE(b.lease.acquire());
+    b.time += seconds(4);
+    EXPECT_FALSE(b.lease.acquire());
+    b.time += seconds(1);
+    EXPECT_TRUE(b.lease.acquire());
+}
+
+TEST(order_lease, is_taken_at_once_in_a_new_store)
+{
+    first_era_store store;
+    test_gateway a(store, "a");
+    EXPECT_TRUE(a.lease.acquire());
+}
+
 /// Three gateways act in random order on a common clock. A gateway that does
 /// not act for a while does not see that time pass until its next turn. Now and
-/// then the store is restored from an earlier copy.
+/// then the store is restored from an earlier copy, or a gateway's process is
+/// replaced by a new one.
 RC_GTEST_PROP(order_lease_history, keeps_holders_apart,
               (const std::vector<std::uint16_t>& draws))
 {
-    store::memory_store store;
+    first_era_store store;
     auto copy = store.make_copy();
     std::array<std::unique_ptr<test_gateway>, 3> gateways{
         std::make_unique<test_gateway>(store, "a"),
@@ -126,6 +159,9 @@
         else if (it % 7 == 0)
             copy = store.make_copy();
         const int i = (it >> 3U) % 3;
+        if (it % 11 == 0)
+            gateways.at(std::size_t(i)) =
+                std::make_unique<test_gateway>(store, "restarted", time);
         test_gateway& g = *gateways.at(std::size_t(i));
         g.time = time;
         const auto token = g.lease.acquire();
