Fleet: a restored store does not bring back the process before a restart

What was seen: an upstream that had been restarted under its id was replaced by the process before it when the store came back from a copy made before the restart. Requests went to the address of a process that had ended, and none to the live one until it registered again.

Cause: only upstreams whose entries had been removed were remembered as ended; the entry of a restarted one is replaced. Replaced processes are remembered as well, and an entry of the copy that names one counts as the lapse of the present entry.

fleet_test, keeps_a_restarted_upstream_when_the_store_is_restored: failed without the change (start time 0 instead of 1), all 30 cases pass with it.

--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -70,6 +70,11 @@
     upstream_ptr u = find(record.id);
     if (u && is_restarted(u->record, record))
     {
+        // The copy names the process that the present one replaced.
+        if (may_have_ended({u->key, record.started_ms}, now()))
+            return remove(record.id, now());
+        if (u->record.started_ms != record.started_ms)
+            ended_[{u->key, u->record.started_ms}] = now();
         note_process_ended(*u);
         erase(u);
         u = nullptr;
@@ -84,7 +89,7 @@
     }
     u->record = record;
     u->lapse_deadline = {};
-    if (may_have_ended(*u, now()))
+    if (may_have_ended({u->key, record.started_ms}, now()))
         u->health.mark_reported_leaving(store_restored_at_ +
                                         settings_.ended_entry_time);
     else
@@ -127,11 +132,11 @@
         settings_.reregistration_time;
 }
 
-bool fleet::may_have_ended(const upstream& u, mono_time now) const
+bool fleet::may_have_ended(const leaving_upstream& process, mono_time now) const
 {
     return store_restored_at_ != mono_time{} &&
            now - store_restored_at_ < settings_.ended_entry_time &&
-           ended_.contains({u.key, u.record.started_ms});
+           ended_.contains(process);
 }
 
 /// True if an entry that disappears now may have expired in a store outage, or
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -257,6 +257,9 @@
     void log_limited_calls(mono_time now);
     void set_limits(upstream& u) const;
     bool may_lapse(mono_time now) const;
+    /// True if an entry of this process comes from the copy that the store was
+    /// restored from, although it had been removed or replaced before.
+    bool may_have_ended(const leaving_upstream& process, mono_time now) const;
 
     asio::io_context& context_;
     fleet_settings settings_;
@@ -265,11 +268,7 @@
     absl::flat_hash_map<std::uint64_t, upstream_ptr> by_key_;
     std::map<service_id, service> configured_;
     std::map<upstream_id, saved_health> saved_health_;
-    /// True if the upstream's entry was removed before the store was restored
-    /// and the copy still has it.
-    bool may_have_ended(const upstream& u, mono_time now) const;
-
-    /// Upstreams whose entries were removed, with the time of the removal.
+    /// Upstreams whose entries were removed or replaced, with the time of it.
     std::map<leaving_upstream, mono_time> ended_;
     policy::fatal_block_detector fatal_blocks_;
     /// Requests that broke off at engines whose processes may have ended.
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -125,6 +125,20 @@
 }
 
 // A peer gateway may see a store change that this gateway misses.
+// The copy names the process that ran under the id before.
+TEST_F(fleet_test, keeps_a_restarted_upstream_when_the_store_is_restored)
+{
+    upstream_record restarted = record_of("u");
+    restarted.started_ms = 1;
+    upstreams_.apply(restarted);
+    upstreams_.set_store_restored(now());
+    upstreams_.apply(record_of("u"));
+    EXPECT_TRUE(is_used("u"));
+    const upstream_ptr u = upstreams_.find(upstream_id("u"));
+    ASSERT_TRUE(u);
+    EXPECT_EQ(u->record.started_ms, 1);
+}
+
 TEST_F(fleet_test, does_not_use_an_upstream_while_others_report_that_it_leaves)
 {
     const leaving_upstream reported{upstreams_.find(upstream_id("u"))->key, 0};
