--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -293,13 +293,15 @@
         state_.current_routing = candidate;
         observe::log(event::gateway_configuration_in_force,
                      {{"version", candidate->config.version.value},
-                      {"revision", o.version.value},
+                      {"era", era_of(o.version).value},
+                      {"revision", revision_of(o.version)},
                       {"routes", candidate->config.routes.size()}});
     }
     catch (const parse_error& ec)
     {
-        observe::log(event::gateway_configuration_refused,
-                     {{"revision", o.version.value}, {"reason", ec.what()}});
+        observe::log(
+            event::gateway_configuration_refused,
+            {{"revision", revision_of(o.version)}, {"reason", ec.what()}});
     }
 }
 
--- a/store/watcher.cpp
+++ b/store/watcher.cpp
@@ -209,9 +209,9 @@
 {
     if (failure.failure() == store_failure::compacted)
     {
-        observe::log(
-            observe::event::platform_watch_compacted,
-            {{"prefix", options_.prefix}, {"revision", revision_.value}});
+        observe::log(observe::event::platform_watch_compacted,
+                     {{"prefix", options_.prefix},
+                      {"revision", revision_of(revision_)}});
         listed_ = false;
     }
     else if (failure.failure() != store_failure::rate_limited)
@@ -236,9 +236,9 @@
         connected_ = connected;
     }
     if (connected)
-        observe::log(
-            observe::event::platform_connected,
-            {{"prefix", options_.prefix}, {"revision", revision_.value}});
+        observe::log(observe::event::platform_connected,
+                     {{"prefix", options_.prefix},
+                      {"revision", revision_of(revision_)}});
     if (hooks_.connection)
         hooks_.connection(connected);
 }
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -124,7 +124,6 @@
     EXPECT_FALSE(before->placed.usable);
 }
 
-// A peer gateway may see a store change that this gateway misses.
 // The copy names the process that ran under the id before.
 TEST_F(fleet_test, keeps_a_restarted_upstream_when_the_store_is_restored)
 {
@@ -139,6 +138,7 @@
     EXPECT_EQ(u->record.started_ms, 1);
 }
 
+// A peer gateway may see a store change that this gateway misses.
 TEST_F(fleet_test, does_not_use_an_upstream_while_others_report_that_it_leaves)
 {
     const leaving_upstream reported{upstreams_.find(upstream_id("u"))->key, 0};
