Shutdown: sessions count from the moment their connection is accepted

In an earlier trial callers on new connections were reset when a gateway process was suspended for 250 ms around its end. The cause is suspected by reading, not shown: a session entered the list of sessions only when its coroutine began, so that the first look for open sessions could find none and the process ended.

A session is now in the list when its connection is accepted. A connection without a request stays open for 100 ms, so that its first request can arrive, and the time in which the process is suspended no longer uses up the time for the last answers.

--- a/gateway/caller_session.hpp
+++ b/gateway/caller_session.hpp
@@ -24,8 +24,13 @@
     asio::awaitable<void> run();
 
     /// True while no byte of an unanswered request has been received, by the
-    /// session or by the kernel, and the connection is not being closed.
+    /// session or by the kernel, and no last answer is on its way.
     bool is_idle();
+    /// True while no request of the connection has been answered.
+    bool is_new() const
+    {
+        return served_requests_ == 0;
+    }
     /// Aborts the request in progress and closes the connection.
     void close();
     /// Has the request in progress answered as soon as possible.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -438,37 +438,6 @@
     return asio::post(loop_, asio::use_future(take_snapshot)).get();
 }
 
-asio::awaitable<void> gateway::accept_callers()
-{
-    while (callers_.is_open())
-    {
-        error_code ec;
-        asio::ip::tcp::socket socket = co_await callers_.async_accept(
-            asio::redirect_error(asio::use_awaitable, ec));
-        if (!ec && sessions_.size() < state_.settings.limits.max_callers)
-        {
-            asio::co_spawn(loop_, serve_caller(std::move(socket)),
-                           asio::detached);
-            continue;
-        }
-        if (!callers_.is_open())
-            co_return;
-        // Not passed as a conditional expression: GCC 12 destroys temporaries
-        // in a conditional operand of co_await twice.
-        const std::string reason = ec ? ec.message() : "too many callers";
-        co_await pause_accepting(loop_.get_executor(), reason);
-    }
-}
-
-asio::awaitable<void> gateway::serve_caller(asio::ip::tcp::socket socket)
-{
-    const auto session =
-        std::make_shared<caller_session>(state_, std::move(socket));
-    sessions_.insert(session);
-    co_await session->run();
-    sessions_.erase(session);
-}
-
 asio::awaitable<void> gateway::sweep_periodically()
 {
     asio::steady_timer timer(loop_);
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -61,7 +61,8 @@
     load_exchange_hooks make_load_exchange_hooks();
     void update_watch_leadership();
     asio::awaitable<void> accept_callers();
-    asio::awaitable<void> serve_caller(asio::ip::tcp::socket socket);
+    void begin_session(asio::ip::tcp::socket socket);
+    asio::awaitable<void> serve(std::shared_ptr<caller_session> session);
     asio::awaitable<void> sweep_periodically();
     status_answer answer_status(const std::string& path) const;
     bool is_ready() const;
@@ -75,7 +76,10 @@
     void end_requests();
     /// Stops the watchers and the engine control, which may block on the store.
     void stop_store_work();
-    std::size_t close_idle_sessions();
+    std::size_t close_idle_sessions(bool closes_new);
+    /// Blocks until all sessions have ended, at most for `limit`, closing those
+    /// that become idle.
+    void wait_for_sessions(duration limit);
 
     store::object_store& store_;
     asio::io_context loop_{1};
--- a/gateway/gateway_shutdown.cpp
+++ b/gateway/gateway_shutdown.cpp
@@ -24,6 +24,11 @@
 /// handlers.
 constexpr duration close_timeout = std::chrono::milliseconds(100);
 constexpr duration close_poll = std::chrono::milliseconds(5);
+/// A longer interval between two checks is a suspension of the process, in
+/// which the loop did not run either; it counts as this time.
+constexpr duration max_poll_time = std::chrono::milliseconds(50);
+/// Time for the first request of a new connection to arrive.
+constexpr duration first_request_time = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -57,27 +62,39 @@
 }
 
 /// Returns the number of open sessions, including those just closed.
-std::size_t gateway::close_idle_sessions()
+std::size_t gateway::close_idle_sessions(bool closes_new)
 {
     return asio::post(loop_, asio::use_future(
-                                 [this]
+                                 [this, closes_new]
                                  {
                                      for (const auto& it : sessions_)
-                                         if (it->is_idle())
+                                         if (it->is_idle() &&
+                                             (closes_new || !it->is_new()))
                                              it->close();
                                      return sessions_.size();
                                  }))
         .get();
 }
 
+void gateway::wait_for_sessions(duration limit)
+{
+    duration waited{};
+    mono_time last = now();
+    while (close_idle_sessions(waited >= first_request_time) > 0 &&
+           waited < limit)
+    {
+        std::this_thread::sleep_for(close_poll);
+        const mono_time t = now();
+        waited += std::min(t - std::exchange(last, t), max_poll_time);
+    }
+}
+
 /// Open requests are answered, streams that have begun go on, and requests that
 /// have just been read are refused, for `last_answers_timeout`.
 void gateway::close_sessions()
 {
     asio::post(loop_, asio::use_future([this] { end_requests(); })).get();
-    const mono_time began = now();
-    while (close_idle_sessions() > 0 && now() - began < last_answers_timeout)
-        std::this_thread::sleep_for(close_poll);
+    wait_for_sessions(last_answers_timeout);
     asio::post(loop_, asio::use_future(
                           [this]
                           {
@@ -85,9 +102,7 @@
                                   it->close();
                           }))
         .get();
-    const mono_time closed = now();
-    while (close_idle_sessions() > 0 && now() - closed < close_timeout)
-        std::this_thread::sleep_for(close_poll);
+    wait_for_sessions(close_timeout);
 }
 
 /// Closing the listening socket resets the connections that wait there, with
@@ -101,8 +116,7 @@
     {
         asio::ip::tcp::socket socket = callers_.accept(ec);
         if (!ec)
-            asio::co_spawn(loop_, serve_caller(std::move(socket)),
-                           asio::detached);
+            begin_session(std::move(socket));
     }
     if (ec && ec != asio::error::would_block)
         observe::log(event::gateway_accept_failed, {{"reason", ec.message()}});
