Tests: heads of answers to the gateway that break off in each of their parts

Reported by other operators: an upstream stops in the head of its answer and closes, and callers get 200 with an empty body.

--- a/tests/platform/gateway_answer_ends_test.cpp
+++ b/tests/platform/gateway_answer_ends_test.cpp
@@ -183,5 +183,106 @@
                                2}),
     [](const auto& it) { return it.param.name; });
 
+struct head_cut
+{
+    const char* name;
+    std::string from_end; ///< The head is cut before the last one of these.
+    std::size_t kept;     ///< Bytes of it that are sent.
+};
+
+struct cut_request
+{
+    const char* name;
+    bool is_stream;
+    bool is_split;
+    const char* path;
+};
+
+struct cut_framing
+{
+    const char* name;
+    std::string fields;
+};
+
+using cut_param = std::tuple<head_cut, cut_request, cut_framing>;
+
+std::string name_of(const testing::TestParamInfo<cut_param>& it)
+{
+    const auto& [cut, kind, framing] = it.param;
+    return std::string(kind.name) + "_" + framing.name + "_" + cut.name;
+}
+
+/// The upstream closes the connection in the middle of its head.
+class cut_head : public gateway_test,
+                 public testing::WithParamInterface<cut_param>
+{
+protected:
+    scripted_answer answer(const std::string& request)
+    {
+        const auto& [cut, kind, framing] = GetParam();
+        const std::string id = field_of(request, "Attempt-Id");
+        if (id.empty())
+            return {.bytes = whole_answer(404, "", ""), .closes = true};
+        ++cut_answers_;
+        const std::string head = "HTTP/1.1 200 Fine\r\nAttempt-Id: " + id +
+                                 "\r\nResponse-Seal: s\r\n" + framing.fields +
+                                 "\r\n";
+        const std::size_t at = head.rfind(cut.from_end) + cut.kept;
+        return {.bytes = head.substr(0, at), .closes = true};
+    }
+
+    std::string request_of(const cut_request& kind)
+    {
+        if (kind.is_split)
+            return request("/stream/x", "1",
+                           "Model: m\r\nToken-Count: 17000,20\r\n"
+                           "Prompt-Prefix: aa:13000,bb:4000\r\n");
+        return kind.is_stream ? prompt_request("1") : request(kind.path, "1");
+    }
+
+    std::atomic<unsigned> cut_answers_ = 0;
+};
+
+TEST_P(cut_head, is_no_answer)
+{
+    const cut_request& kind = std::get<cut_request>(GetParam());
+    const auto script = [this](const std::string& it)
+    {
+        return answer(it);
+    };
+    scripted_upstream a(script);
+    scripted_upstream b(script);
+    const char* service = kind.is_stream ? "writers" : "desk";
+    add_upstream("i-1", a.address(), service,
+                 kind.is_split    ? "prefill"
+                 : kind.is_stream ? "decode"
+                                  : "");
+    add_upstream("i-2", b.address(), service, kind.is_stream ? "decode" : "");
+    start();
+    const std::string answer = fetch(request_of(kind), "\r\n\r\n");
+    EXPECT_GT(cut_answers_, 0U);
+    EXPECT_EQ(status_of(answer).substr(0, 2), "50") << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cuts, cut_head,
+    testing::Combine(
+        testing::Values(
+            head_cut{"nothing", "HTTP", 0}, head_cut{"version", "HTTP", 6},
+            head_cut{"status", "200", 2}, head_cut{"reason", "Fine", 2},
+            head_cut{"status_line", "Attempt-Id", 0},
+            head_cut{"name", "Response-Seal", 4}, head_cut{"value", ": ", 2},
+            head_cut{"field", "\r\n\r\n", 1}, head_cut{"fields", "\r\n", 0},
+            head_cut{"empty_line", "\r\n", 1}),
+        testing::Values(cut_request{"once", false, false, "/once/x"},
+                        cut_request{"safe", false, false, "/safe/x"},
+                        cut_request{"stream", true, false, ""},
+                        cut_request{"prefill", true, true, ""}),
+        testing::Values(cut_framing{"length", "Content-Length: 10\r\n"},
+                        cut_framing{"no_body", "Content-Length: 0\r\n"},
+                        cut_framing{"chunks", chunked},
+                        cut_framing{"until_close", ""})),
+    name_of);
+
 } // namespace
 } // namespace poplar::gateway
