Gateway: only events of the stream are taken into a resumed stream

When a stream had begun and broke off, and the next upstream answered 200 with a signature but with something other than the rest of the stream (an error as JSON or text, the head of another answer), callers found that text between their events, and the stream ended as complete. An empty answer of another type, or one without a length whose connection closed, ended the stream as complete too. Answers with another status, unsigned, cut or reset ones did no harm.

Cause: any signed 200 counted as the rest of the stream, and any text before an empty line as an event. A stream whose first text had no id was also resumed, although no upstream can tell where to go on.

An answer without any event whose end only the connection marks is not complete, also at the first upstream. A stream whose events have no id is not resumed. In each case the stream goes on at another upstream or is cut without its last chunk.

--- a/gateway/event_stream.cpp
+++ b/gateway/event_stream.cpp
@@ -51,10 +51,17 @@
     return std::nullopt;
 }
 
+bool is_comment(std::string_view event)
+{
+    return event.starts_with(':');
+}
+
 } // namespace
 
 std::string event_stream::append(std::string_view bytes)
 {
+    if (has_foreign_event_)
+        return "";
     partial_ += bytes;
     std::string events;
     std::size_t offset = 0;
@@ -65,6 +72,10 @@
             std::string_view(partial_).substr(offset, end - offset);
         offset = end;
         const auto id = event_id(event);
+        has_foreign_event_ = is_continuation_ && !id && !is_comment(event);
+        if (has_foreign_event_)
+            break;
+        has_event_ = true;
         const bool is_repeat = resumed_ && id && last_id_ && *id <= *last_id_;
         if (is_repeat)
             continue;
@@ -80,6 +91,9 @@
 {
     partial_.clear();
     resumed_ = true;
+    is_continuation_ = last_id_.has_value();
+    has_event_ = false;
+    has_foreign_event_ = false;
 }
 
 } // namespace poplar::gateway
--- a/gateway/event_stream.hpp
+++ b/gateway/event_stream.hpp
@@ -25,6 +25,17 @@
     {
         return !partial_.empty();
     }
+    /// Whether an event without id came after `restart`, which is no event of
+    /// the stream that is resumed; it and all that follows is dropped.
+    bool has_foreign_event() const
+    {
+        return has_foreign_event_;
+    }
+    /// Whether the current call has sent no event yet.
+    bool awaits_event() const
+    {
+        return !has_event_;
+    }
     /// Bytes after the last complete event.
     const std::string& partial_event() const
     {
@@ -45,6 +56,10 @@
     std::string partial_;
     std::optional<std::uint64_t> last_id_;
     bool resumed_ = false; ///< Events up to last_id_ are duplicates.
+    /// Another call has sent events with ids before.
+    bool is_continuation_ = false;
+    bool has_event_ = false; ///< Since the last `restart`.
+    bool has_foreign_event_ = false;
 };
 
 } // namespace poplar::gateway
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -35,6 +35,17 @@
            result == attempt_result::not_sent;
 }
 
+constexpr beast::string_view event_stream_type = "text/event-stream";
+
+/// Whether the answer may go on with a stream that another engine began.
+bool may_resume(const answer_head& head)
+{
+    const auto type = head[http::field::content_type];
+    return type.empty() ||
+           beast::iequals(type.substr(0, event_stream_type.size()),
+                          event_stream_type);
+}
+
 } // namespace
 
 policy::placed_request exchange::placed_request() const
@@ -374,7 +385,8 @@
     }
     end.answer.info = call->info();
     if (call->info().status == 200 && !call->info().not_executed &&
-        call->info().is_signed)
+        call->info().is_signed &&
+        (!answer_started_ || may_resume(call->head())))
     {
         end.answer.status = co_await forward_events(*u, *call, on_event);
         end.is_complete = end.answer.status == call_status::ok;
@@ -389,6 +401,12 @@
         co_await call->read_all(end.answer.body, max_buffered_answer);
     end.answer.head = platform::forwardable(call->head());
     end.result = classify_for_caller(end.answer);
+    if (answer_started_ && end.result == attempt_result::answered &&
+        end.answer.info.status / 100 == 2)
+    {
+        end.result = attempt_result::lost;
+        end.keeps_connection = call->keeps_connection();
+    }
     co_return end;
 }
 
@@ -411,17 +429,20 @@
         if (is_suspended_speaking())
             co_return call_status::stalled;
         std::string events = events_.append(bytes);
-        if (events_.partial_event().size() > max_event_size)
+        if (!events.empty())
+        {
+            on_event();
+            suspended_.reset();
+            last_progress_at_ = now();
+            co_await forward_piece(call, std::move(events));
+            silence.start(silence_limit());
+        }
+        if (events_.has_foreign_event() ||
+            events_.partial_event().size() > max_event_size)
             co_return call_status::broken;
-        if (events.empty())
-            continue;
-        on_event();
-        suspended_.reset();
-        last_progress_at_ = now();
-        co_await forward_piece(call, std::move(events));
-        silence.start(silence_limit());
     }
-    if (events_.has_partial_event())
+    if (events_.has_partial_event() ||
+        (events_.awaits_event() && call.ends_with_connection()))
         co_return call_status::broken;
     suspended_.reset();
     if (!answer_started_)
@@ -443,6 +464,9 @@
     }
     if (events.empty())
         co_return;
+    // Without an id no engine can tell where to go on.
+    history_.is_repeatable =
+        history_.is_repeatable && events_.last_id().has_value();
     if (last_event_at_ != mono_time{})
         longest_pause_ = std::max(longest_pause_, now() - last_event_at_);
     last_event_at_ = now();
--- a/gateway/exchange_suspension.cpp
+++ b/gateway/exchange_suspension.cpp
@@ -109,9 +109,9 @@
     const call_status status = it.call->read_available(bytes, is_end);
     it.received += it.events.append(bytes);
     const std::string& partial = it.events.partial_event();
-    const bool is_broken = status != call_status::ok ||
-                           partial.size() > max_event_size ||
-                           (is_end && !partial.empty());
+    const bool is_broken =
+        status != call_status::ok || partial.size() > max_event_size ||
+        it.events.has_foreign_event() || (is_end && !partial.empty());
     if (is_broken)
         return drop_suspended();
     it.is_speaking = !it.received.empty() || is_end;
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -107,6 +107,12 @@
     {
         return is_complete_ && parser_->keep_alive();
     }
+    /// True if only the end of the connection ends the body, so that a body
+    /// that broke off cannot be told from a complete one.
+    bool ends_with_connection() const
+    {
+        return parser_->need_eof();
+    }
     bool is_given_up() const
     {
         return is_stalled_ || is_canceled_;
--- a/tests/gateway/event_stream_test.cpp
+++ b/tests/gateway/event_stream_test.cpp
@@ -76,6 +76,52 @@
     EXPECT_EQ(s.last_id(), 5U);
 }
 
+struct foreign_case
+{
+    const char* name;
+    std::string begun;   ///< Sent before the stream broke off.
+    std::string resumed; ///< Sent by the next call.
+    std::string given;
+    bool is_foreign;
+};
+
+class foreign_events : public testing::TestWithParam<foreign_case>
+{
+};
+
+TEST_P(foreign_events, are_not_taken_into_a_resumed_stream)
+{
+    event_stream s;
+    std::string given = s.append(GetParam().begun);
+    s.restart();
+    EXPECT_TRUE(s.awaits_event());
+    given += s.append(GetParam().resumed);
+    given += s.append("id: 9\n\n");
+    EXPECT_EQ(given,
+              GetParam().given + (GetParam().is_foreign ? "" : "id: 9\n\n"));
+    EXPECT_EQ(s.has_foreign_event(), GetParam().is_foreign);
+    s.restart();
+    EXPECT_FALSE(s.has_foreign_event());
+}
+
+const std::string two = "id: 1\n\nid: 2\n\n";
+const std::string head = "HTTP/1.1 500 X\r\nContent-Length: 1\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, foreign_events,
+    testing::Values(
+        foreign_case{"head", two, head, two, true},
+        foreign_case{"text", two, "failed\n\n", two, true},
+        foreign_case{"data", two, "data: x\n\n", two, true},
+        foreign_case{"no_number", two, "id: x\n\n", two, true},
+        foreign_case{"after_an_event", two, "id: 3\n\n" + head,
+                     two + "id: 3\n\n", true},
+        foreign_case{"comment", two, ": x\n\n", two + ": x\n\n", false},
+        foreign_case{"version_first", two, "weights: 3\nid: 3\n\n",
+                     two + "weights: 3\nid: 3\n\n", false},
+        foreign_case{"not_begun", "", "data: x\n\n", "data: x\n\n", false}),
+    [](const auto& it) { return it.param.name; });
+
 RC_GTEST_PROP(event_stream, joins_runs_that_end_anywhere,
               (const std::vector<unsigned>& cuts))
 {
--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -80,7 +80,7 @@
         s.instance = instance_id("g");
         s.failure_domain = failure_domain_id("z");
         s.listen = s.ready = s.admin = s.peer = any;
-        s.retries.slack = 100; // A gateway starts with a share of it.
+        s.retries.slack = retry_slack_;
         s.timeouts.close_delay = milliseconds(300);
         s.timeouts.drain_limit = milliseconds(1500);
         gateway_ = std::make_unique<gateway>(s, store_of_gateway());
@@ -136,6 +136,7 @@
         return c.read_until(end, seconds(3));
     }
 
+    unsigned retry_slack_ = 100; ///< A gateway starts with a share of it.
     store::memory_store store_;
     std::unique_ptr<gateway> gateway_;
 };
