Connections: one lost probe does not end a call that waits

What callers saw: a request that an upstream had accepted was answered with 502 when the upstream's machine was silent for 1.3 s and went on. With a non-idempotent request nothing may be tried again.

Cause: the kernel sends probes after 1 s without packets and was meant to end the connection after two lost ones. When TCP_USER_TIMEOUT is set, it takes that time instead of the number of probes: with 1.5 s the first lost probe ended the connection 2 s after the last packet, whatever the length of the silence. Once a short request has been acknowledged, its connection now has a limit of 2.5 s, with which the second probe must be lost as well. Requests that are not acknowledged keep the 1.5 s, so that a vanished upstream is noticed as early as before while a request is being sent; during the wait for the answer it is noticed 3 s after the last packet, one second later.

--- a/gateway/connections.hpp
+++ b/gateway/connections.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
@@ -39,7 +40,7 @@
     static constexpr std::size_t max_unparsed_bytes = 256 << 10;
 
     explicit upstream_connection(asio::io_context& context)
-        : stream(context), buffer(max_unparsed_bytes)
+        : stream(context), buffer(max_unparsed_bytes), acknowledgement(context)
     {
     }
 
@@ -51,6 +52,8 @@
     duration idle_timeout{};
     unsigned requests = 0; ///< Completed before the current one.
     duration unacknowledged_limit = net::unacknowledged_limit;
+    /// Ends when a short request has been acknowledged by any live upstream.
+    asio::steady_timer acknowledgement;
     /// Requests that the upstream refused on this connection; it may write
     /// their refusals once more.
     std::vector<attempt_id> refused;
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -28,6 +28,34 @@
 /// Fits into the receive buffer of an upstream that does not read yet. A longer
 /// request is held back by an upstream that reads slowly.
 constexpr std::size_t max_buffered_request = 16 << 10; // bytes
+/// The kernel has ended the connection by then if the request was not
+/// acknowledged; it judges probes only later, 2 s after the last packet.
+constexpr duration acknowledgement_time =
+    net::unacknowledged_limit + std::chrono::milliseconds(100);
+
+void set_limit(upstream_connection& connection, duration limit)
+{
+    if (limit == connection.unacknowledged_limit)
+        return;
+    connection.unacknowledged_limit = limit;
+    net::set_unacknowledged_limit(connection.stream.socket().native_handle(),
+                                  limit);
+}
+
+/// The limit for unacknowledged data also applies to probes: with the short one
+/// a single lost probe would end the connection during a long wait.
+void raise_limit_when_acknowledged(const connection_ptr& connection)
+{
+    connection->acknowledgement.expires_after(acknowledgement_time);
+    connection->acknowledgement.async_wait(
+        [weak = std::weak_ptr(connection)](const error_code& ec)
+        {
+            const connection_ptr c = weak.lock();
+            if (!ec && c &&
+                c->unacknowledged_limit == net::unacknowledged_limit)
+                set_limit(*c, net::silence_limit);
+        });
+}
 
 } // namespace
 
@@ -232,14 +260,10 @@
 /// at the deadline or when the call stalls.
 void upstream_call::set_unacknowledged_limit()
 {
-    const duration limit = request_.body->size() > max_buffered_request
-                               ? time_left()
-                               : net::unacknowledged_limit;
-    if (limit == connection_->unacknowledged_limit)
-        return;
-    connection_->unacknowledged_limit = limit;
-    net::set_unacknowledged_limit(connection_->stream.socket().native_handle(),
-                                  limit);
+    const bool is_long = request_.body->size() > max_buffered_request;
+    set_limit(*connection_, is_long ? time_left() : net::unacknowledged_limit);
+    if (!is_long)
+        raise_limit_when_acknowledged(connection_);
 }
 
 asio::awaitable<call_status> upstream_call::read_head()
--- a/net/socket.hpp
+++ b/net/socket.hpp
@@ -15,13 +15,17 @@
 
 /// Several round trips and one retransmission fit.
 constexpr duration unacknowledged_limit = std::chrono::milliseconds(1500);
+/// While nothing is unacknowledged, the kernel ends a connection at the first
+/// probe after this time: one lost probe, at 1 s, does not suffice.
+constexpr duration silence_limit = std::chrono::milliseconds(2500);
 
-/// Has the kernel end a connection on which the other side has gone silent, in
-/// about three seconds, also while nothing is sent.
+/// Has the kernel end a connection on which the other side has gone silent,
+/// also while nothing is sent. That takes two seconds, or as long as the limit
+/// for unacknowledged data when it is higher.
 void end_when_silent(int socket);
 
-/// Sets how long sent data may be unacknowledged before the kernel ends the
-/// connection. That time also passes while a live peer does not read.
+/// Sets how long sent data, or probes, may be unacknowledged before the kernel
+/// ends the connection. That time also passes while a live peer does not read.
 void set_unacknowledged_limit(int socket, duration limit);
 
 } // namespace poplar::net
--- a/tests/platform/scripted_upstream.cpp
+++ b/tests/platform/scripted_upstream.cpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -33,6 +34,20 @@
     return {buf.data(), n > 0 ? std::size_t(n) : 0};
 }
 
+/// Drops what arrives at the socket for a while, as a suspended machine does:
+/// its kernel does not acknowledge anything either.
+void lose_packets(int socket, duration d)
+{
+    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{1, &drop_all};
+    if (setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                   sizeof program) != 0)
+        throw system_failure("attaching a filter", errno);
+    std::this_thread::sleep_for(d);
+    const int unused = 0;
+    setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+}
+
 std::size_t body_length(const std::string& head)
 {
     const auto at = head.find("Content-Length: ");
@@ -132,6 +147,17 @@
     return true;
 }
 
+bool scripted_upstream::wait_for_delay(int socket,
+                                       const scripted_answer& answer) const
+{
+    if (answer.packet_loss == duration::zero())
+        return wait_while_open(socket, answer.delay);
+    if (!wait_while_open(socket, answer.delay - answer.packet_loss))
+        return false;
+    lose_packets(socket, answer.packet_loss);
+    return wait_while_open(socket, poll_interval);
+}
+
 void scripted_upstream::serve(int socket)
 {
     std::string bytes;
@@ -166,7 +192,7 @@
             heads_.push_back(head);
         }
         const scripted_answer answer = answer_(head);
-        if (!wait_while_open(socket, answer.delay))
+        if (!wait_for_delay(socket, answer))
         {
             absl::MutexLock lock(&mutex_);
             ++abandoned_connections_;
--- a/tests/platform/scripted_upstream.hpp
+++ b/tests/platform/scripted_upstream.hpp
@@ -22,6 +22,8 @@
     bool resets = false;       ///< Without sending anything.
     bool resets_after = false; ///< After all pieces were sent.
     duration delay{};          ///< Time before `bytes` are sent.
+    /// Time at the end of `delay` in which packets from the client are lost.
+    duration packet_loss{};
     /// Sent after `bytes`, each one after `pause`.
     std::vector<std::string> pieces;
     duration pause{};
@@ -57,6 +59,9 @@
 private:
     void accept_all();
     void serve(int socket);
+    /// Waits for the delay of the answer; false when the client closed the
+    /// connection.
+    bool wait_for_delay(int socket, const scripted_answer& answer) const;
     /// Waits for `d`; false when the client closed the connection.
     bool wait_while_open(int socket, duration d) const;
     /// False when the client closed the connection.
