Store: an era or a revision that does not fit into a version is refused

What was seen: an era of 2^24 or more lost its upper bits in the version, so that it never equalled the era of the next answer: each watch would fail as compacted, and each conditional write as a conflict, without an error that says why. A revision of 2^40 or more was taken for one of another era. Both were found by reading, with tests of the parse functions only.

Now both are parse errors that name the field: an object with such a revision counts as unreadable, an answer with such an era or asOf as invalid.

--- a/tests/platform/objects_test.cpp
+++ b/tests/platform/objects_test.cpp
@@ -207,6 +207,43 @@
     EXPECT_THROW(make_object_dialect().parse_page("servers/", r), parse_error);
 }
 
+class odd_era : public testing::TestWithParam<const char*>
+{
+};
+
+// An era that does not fit into a version was never equal to that of the next
+// answer, so that the objects were listed again and again.
+TEST_P(odd_era, is_refused)
+{
+    net::http_response r;
+    r.headers = {{"Store-Era", GetParam()}};
+    EXPECT_THROW(make_object_dialect().parse_era(r), parse_error);
+}
+
+INSTANTIATE_TEST_SUITE_P(eras, odd_era,
+                         testing::Values("", "x", "-1", "1.5", "1e999", "[1]",
+                                         "16777216", "18446744073709551616"));
+
+TEST(object_dialect, reads_the_largest_era_and_revision)
+{
+    net::http_response r;
+    r.headers = {{"Store-Era", "16777215"}};
+    r.body = R"({"metadata":{"name":"m","revision":1099511627775},"spec":{}})";
+    const object_version v = make_object_dialect().parse_version(r);
+    EXPECT_EQ(era_of(v), store_era(16777215));
+    EXPECT_EQ(revision_of(v), 1099511627775U);
+}
+
+// A larger one would be taken for a revision of another era.
+TEST(object_dialect, refuses_a_revision_that_does_not_fit_into_a_version)
+{
+    net::http_response r;
+    r.body = R"({"metadata":{"name":"m","revision":1099511627776},"spec":{}})";
+    EXPECT_THROW(make_object_dialect().parse_version(r), parse_error);
+    r.body = R"({"asOf":1099511627776,"items":[]})";
+    EXPECT_THROW(make_object_dialect().parse_page("servers/", r), parse_error);
+}
+
 TEST(object_dialect, reads_the_version_of_an_object_with_odd_content)
 {
     net::http_response r;
