--- a/tests/restored_platform_test.cpp
+++ b/tests/restored_platform_test.cpp
@@ -21,9 +21,11 @@
 const object_key b{"sheet/b"};
 const object_version absent;
 
-class restored_platform : public testing::Test
+struct restored_platform : testing::Test
 {
-protected:
+    platform_process platform;
+    std::unique_ptr<object_store> store = platform.store();
+
     void make_copy()
     {
         platform.set_faults(R"({"copy":true})");
@@ -32,9 +34,6 @@
     {
         platform.set_faults(R"({"restore":true})");
     }
-
-    platform_process platform;
-    std::unique_ptr<object_store> store = platform.store();
 };
 
 TEST_F(restored_platform, goes_back_to_the_copy_in_a_new_era)
