Ledger: a call does not run again when the restored store lacks its record

What callers saw: a repeat of a call that had run was run again after the store had been restored from a copy without its record.

Cause: the owner took the conflict of its next write for a loss of ownership, forgot the calls, read the copy and took the shard from it. A former owner that the copy still names took the shard at once.

The owner of the earlier era now writes all calls that it knows to the restored store before it runs anything new, also those whose segments are gone, as soon as it notices the new era. The record names its era; nobody takes a shard from a record of an earlier era in the 5 s after it noticed the restore (callers get not_started). Epochs of a new era are above all earlier ones. Segments stay within their limit when many calls are written again.

ledger_test: a_call_does_not_run_again_when_the_store_lost_its_record, an_owner_- writes_again_what_the_restored_store_lacks and a_former_owner_in_the_copy_- waits_for_the_last_one failed with the fix taken out, all 10 pass now.

Open: calls written after the copy whose owner process has ended before the restore; no process knows them, and a repeat runs again.

--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -88,6 +88,7 @@
 
     shard_machine& machine(unsigned shard)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void note_era(store_era era) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     effects collect(unsigned shard) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void apply(effects e);
     void run_call(const open_call& c);
@@ -108,6 +109,8 @@
     bool is_releasing_ ABSL_GUARDED_BY(mutex_) = false;
     std::uint64_t waiter_count_ ABSL_GUARDED_BY(mutex_) = 0;
     mono_time next_write_ ABSL_GUARDED_BY(mutex_);
+    store_era era_ ABSL_GUARDED_BY(mutex_);
+    mono_time era_seen_at_ ABSL_GUARDED_BY(mutex_);
     std::map<unsigned, shard_machine> machines_ ABSL_GUARDED_BY(mutex_);
     std::unordered_map<std::uint64_t, open_call>
         open_calls_ ABSL_GUARDED_BY(mutex_);
@@ -137,13 +140,26 @@
 {
     auto it = machines_.find(shard);
     if (it == machines_.end())
+    {
         it = machines_
                  .emplace(shard, shard_machine(options_.service, shard,
                                                options_.shard))
                  .first;
+        it->second.store_seen(era_, era_seen_at_);
+    }
     return it->second;
 }
 
+void service_ledger::implementation::note_era(store_era era)
+{
+    if (era <= era_)
+        return;
+    era_ = era;
+    era_seen_at_ = now();
+    for (auto& [shard, m] : machines_)
+        m.store_seen(era_, era_seen_at_);
+}
+
 void service_ledger::implementation::submit(call c, answer_hook hook)
 {
     effects e;
@@ -387,8 +403,10 @@
 {
     effects e;
     bool became_owner = false;
+    const store_era era = store_.era();
     {
         absl::MutexLock lock(&mutex_);
+        note_era(era);
         shard_machine& m = machine(shard);
         const bool was_owner = m.owns();
         if (!outcome.is_read)
@@ -425,8 +443,10 @@
 void service_ledger::implementation::expire()
 {
     std::vector<effects> all;
+    const store_era era = store_.era();
     {
         absl::MutexLock lock(&mutex_);
+        note_era(era);
         for (auto& [shard, m] : machines_)
         {
             m.expire(now(), unix_seconds());
--- a/ledger/record.cpp
+++ b/ledger/record.cpp
@@ -99,6 +99,7 @@
 {
     shard_record record;
     record.epoch = owner_epoch(j.at("epoch").get<std::uint64_t>());
+    record.era = store_era(j.value("era", std::uint64_t(0)));
     record.owner = instance_id(j.at("owner").get<std::string>());
     record.owner_address = j.at("address").get<std::string>();
     record.write_id = j.at("write_id").get<std::string>();
@@ -117,6 +118,7 @@
     for (const segment_reference& s : record.segments)
         segments.push_back({{"name", s.name}, {"newest", s.newest_call}});
     const json j{{"epoch", record.epoch.value},
+                 {"era", record.era.value},
                  {"owner", record.owner.value},
                  {"address", record.owner_address},
                  {"write_id", record.write_id},
--- a/ledger/record.hpp
+++ b/ledger/record.hpp
@@ -51,6 +51,7 @@
 struct shard_record
 {
     owner_epoch epoch;
+    store_era era;     ///< In which it was written.
     instance_id owner; ///< Empty: released, anyone may take it.
     std::string owner_address;
     std::string write_id; ///< Tells a writer its own write from another's.
--- a/ledger/shard_machine.cpp
+++ b/ledger/shard_machine.cpp
@@ -135,14 +135,23 @@
 {
     operation_ = operation::none;
     wall_ = wall;
+    store_seen(era_of(version), now);
     if (proposed_ && record.write_id == proposed_->write_id)
         return write_settled(version);
     if (proposed_ && ownership_ == ownership::owned)
+    {
+        const bool is_ours =
+            record.epoch < epoch_ || record.owner == options_.instance;
+        if (is_of_earlier_era(version_) && record.epoch <= epoch_ && is_ours)
+            return write_again(record, version, archived);
         return lost_ownership(record, now);
+    }
     forget_ownership();
     const bool may_take = record.owner.empty() ||
                           record.owner == options_.instance ||
                           std::ranges::any_of(queue_, &submission::take_over);
+    if (may_take && may_lack_calls(record, now))
+        return fail_queue(answer_cause::unavailable);
     if (may_take && !is_releasing_)
         return take_ownership(record, version, std::move(archived), wall);
     ownership_ = ownership::foreign;
@@ -172,7 +181,7 @@
 {
     ownership_ = ownership::taking;
     version_ = version;
-    epoch_ = owner_epoch(record.epoch.value + 1);
+    epoch_ = owner_epoch(next_in_era(record.epoch.value, era_));
     segments_ = record.segments;
     for (call_record& old : archived)
         archived_.emplace(old.call, std::move(old));
@@ -195,6 +204,73 @@
     }
 }
 
+void shard_machine::store_seen(store_era era, mono_time at)
+{
+    if (era <= era_)
+        return;
+    era_ = era;
+    era_seen_at_ = at;
+    has_changes_ = has_changes_ || ownership_ == ownership::owned;
+}
+
+bool shard_machine::is_of_earlier_era(object_version version) const
+{
+    return era_of(version) < era_;
+}
+
+/// The last owner may hold calls that a copy of the store lacks.
+bool shard_machine::may_lack_calls(const shard_record& record,
+                                   mono_time now) const
+{
+    return record.era < era_ && now - era_seen_at_ < options_.restored_wait;
+}
+
+/// The record is that of a copy: what was written since is only known here.
+void shard_machine::write_again(const shard_record& record,
+                                object_version version,
+                                const std::vector<call_record>& archived)
+{
+    proposed_.reset();
+    is_unresolved_ = false;
+    write_retries_ = 0;
+    version_ = version;
+    segments_ = record.segments;
+    keep_unarchived(archived);
+    for (const call_record& it : record.calls)
+    {
+        // An owner of the copy may have sent it.
+        const auto known = calls_.find(it.call);
+        if (known == calls_.end() || known->second.at != phase::recording)
+            continue;
+        answer_all(known->second,
+                   {answer_state::not_started, answer_cause::unavailable});
+        calls_.erase(known);
+    }
+    load_calls(record.calls);
+    for (auto& [key, c] : calls_)
+    {
+        c.is_proposed = false;
+        c.is_outcome_recorded = false;
+    }
+    has_changes_ = true;
+    write_if_needed();
+}
+
+/// Moves the calls whose segments are gone back to the shard object.
+void shard_machine::keep_unarchived(const std::vector<call_record>& archived)
+{
+    std::map<call_key, call_record> before = std::exchange(archived_, {});
+    for (const call_record& it : archived)
+    {
+        before.erase(it.call);
+        archived_.emplace(it.call, it);
+    }
+    std::vector<call_record> calls;
+    std::ranges::transform(before, std::back_inserter(calls),
+                           [](auto& it) { return std::move(it.second); });
+    load_calls(std::move(calls));
+}
+
 void shard_machine::became_owner()
 {
     ownership_ = ownership::owned;
@@ -212,7 +288,8 @@
         if (c.at == phase::recording)
             answer_all(
                 c, {answer_state::not_started, cause, {}, foreign_address_});
-        if (c.at == phase::done && !c.is_outcome_recorded)
+        if (c.at == phase::done &&
+            (!c.is_outcome_recorded || is_of_earlier_era(version_)))
             forward(c);
         c.is_outcome_recorded = true;
     }
--- a/ledger/shard_machine.hpp
+++ b/ledger/shard_machine.hpp
@@ -123,6 +123,10 @@
     unsigned max_write_retries = 2;
     /// Wait before the next try of a failed write.
     duration write_retry_interval = std::chrono::milliseconds(200);
+    /// Time in which the last owner of a shard writes again what a restored
+    /// store lacks; nobody else takes the shard before. Agents notice the new
+    /// era within 2 s, the interval in which they check their slot.
+    duration restored_wait = std::chrono::seconds(5);
 };
 
 class shard_machine
@@ -130,6 +134,9 @@
 public:
     shard_machine(service_id service, unsigned shard, shard_options options);
 
+    /// An answer of the store named this era first at that time.
+    void store_seen(store_era era, mono_time at);
+
     // Events. `wall` is seconds since 1970, UTC.
     void submit(const submission& s, mono_time now);
     /// The object as read; `archived` holds the calls of its segments.
@@ -210,6 +217,11 @@
     void take_ownership(const shard_record& record, object_version version,
                         std::vector<call_record> archived, std::int64_t wall);
     void load_calls(std::vector<call_record> calls);
+    bool is_of_earlier_era(object_version version) const;
+    bool may_lack_calls(const shard_record& record, mono_time now) const;
+    void write_again(const shard_record& record, object_version version,
+                     const std::vector<call_record>& archived);
+    void keep_unarchived(const std::vector<call_record>& archived);
     void write_settled(object_version version);
     void became_owner();
     void lost_ownership(const shard_record& current, mono_time now);
@@ -250,6 +262,8 @@
     mono_time retry_at_;
     std::int64_t wall_ = 0;
     object_version version_;
+    store_era era_;
+    mono_time era_seen_at_;
     owner_epoch epoch_;
     std::uint64_t write_count_ = 0;
     std::uint64_t segment_count_ = 0;
--- a/ledger/shard_writes.cpp
+++ b/ledger/shard_writes.cpp
@@ -151,6 +151,7 @@
         { return it.second.at == phase::idle && it.second.waiters.empty(); });
     shard_record record;
     record.epoch = epoch_;
+    record.era = era_;
     if (!is_releasing_ || has_active_calls())
     {
         record.owner = options_.instance;
@@ -168,15 +169,21 @@
     return record;
 }
 
+/// Not more than fit into one segment: after a restore of the store the calls
+/// of many segments may have to be written again.
 std::vector<call_key> shard_machine::segment_candidates() const
 {
     std::size_t n = 0;
+    std::size_t n_settled = 0;
     std::vector<call_key> settled;
     for (const auto& [key, c] : calls_)
     {
-        n += json_size(c.record);
-        if (c.at == phase::done)
-            settled.push_back(key);
+        const std::size_t size = json_size(c.record);
+        n += size;
+        if (c.at != phase::done || n_settled > options_.segment_limit_bytes)
+            continue;
+        n_settled += size;
+        settled.push_back(key);
     }
     if (n <= options_.segment_limit_bytes)
         return {};
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -177,5 +177,78 @@
     EXPECT_EQ(runs, before);
 }
 
+answer_state submit_until_settled(service_ledger& ledger, const call_key& key)
+{
+    const mono_time end = now() + 10s;
+    answer_state state = answer_state::not_started;
+    while (state == answer_state::not_started && now() < end)
+        state = submit_and_wait(ledger, key, "body").state;
+    return state;
+}
+
+/// Another call of the shard of `key`, not before number `from`.
+call_key neighbour_of(const call_key& key, unsigned from)
+{
+    for (unsigned i = from;; ++i)
+        if (shard_of(key_of(i)) == shard_of(key) && key_of(i) != key)
+            return key_of(i);
+}
+
+TEST(ledger, a_call_does_not_run_again_when_the_store_lost_its_record)
+{
+    store::memory_store store;
+    std::atomic<int> runs = 0;
+    service_ledger ledger(store, options_for("desk-1", counting_run(runs)));
+    submit_and_wait(ledger, neighbour_of(key_of(1), 1000), "body");
+    const auto copy = store.make_copy();
+    submit_and_wait(ledger, key_of(1), "body");
+    store.restore(copy);
+    submit_until_settled(ledger, neighbour_of(key_of(1), 5000));
+    EXPECT_EQ(submit_until_settled(ledger, key_of(1)), answer_state::done);
+    EXPECT_EQ(runs, 3);
+}
+
+TEST(ledger, an_owner_writes_again_what_the_restored_store_lacks)
+{
+    store::memory_store store;
+    std::atomic<int> runs = 0;
+    service_ledger owner(store, options_for("desk-1", counting_run(runs)));
+    const auto empty = store.make_copy();
+    submit_and_wait(owner, key_of(1), "body");
+    store.restore(empty);
+    const object_key shard = shard_object(desk, shard_of(key_of(1)));
+    const auto has_call = [&]
+    {
+        const store::object o = store.get(shard);
+        return !o.value.empty() &&
+               !parse_shard_record(o.value, desk).calls.empty();
+    };
+    const mono_time end = now() + 5s;
+    while (!has_call() && now() < end)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_TRUE(has_call());
+}
+
+// The copy names the former owner, which may be alive and ask at once.
+TEST(ledger, a_former_owner_in_the_copy_waits_for_the_last_one)
+{
+    store::memory_store store;
+    std::atomic<int> runs = 0;
+    service_ledger former(store, options_for("desk-1", counting_run(runs)));
+    submit_and_wait(former, neighbour_of(key_of(1), 1000), "body");
+    const auto copy = store.make_copy();
+    service_ledger last(store, options_for("desk-2", counting_run(runs)));
+    submit_and_wait(last, key_of(1), "body", true);
+    submit_and_wait(former, key_of(1), "body"); // Learns of the other owner.
+    const int before = runs;
+    store.set_faults({.outage = true});
+    store.restore(copy);
+    store.set_faults({});
+    const call_answer a = submit_and_wait(former, key_of(1), "body", true);
+    EXPECT_NE(a.state, answer_state::not_run);
+    EXPECT_EQ(submit_until_settled(last, key_of(1)), answer_state::done);
+    EXPECT_EQ(runs, before);
+}
+
 } // namespace
 } // namespace poplar::ledger
