Control: an epoch is not given out again by a restored store

What was seen: an owner that took its group again after a restore wrote under an epoch that another owner had had, from the older assignments of the copy; entries took the copy's assignments for newer ones, since their version is of a later era.

Epochs of a new era are above all earlier ones. An owner that held the group before the restore starts from its own assignments; a write under an epoch of an earlier era gives no ownership. Entries take assignments of another era only under a higher epoch.

Open: an owner that the copy still names may take the group before the last one; its older assignments are then in force until the next plan.

--- a/control/assignments.cpp
+++ b/control/assignments.cpp
@@ -74,6 +74,14 @@
 
 } // namespace
 
+bool is_newer(const assignments_stamp& a, const assignments_stamp& than)
+{
+    if (a.epoch != than.epoch)
+        return a.epoch > than.epoch;
+    return era_of(a.version) == era_of(than.version) &&
+           a.version > than.version;
+}
+
 object_key assignments_key(const group_id& group)
 {
     return object_key(assignments_prefix + group.value);
--- a/control/assignments.hpp
+++ b/control/assignments.hpp
@@ -37,6 +37,17 @@
     std::vector<assignment> assignments; ///< Ordered by instance.
 };
 
+/// When assignments/<group> was written.
+struct assignments_stamp
+{
+    owner_epoch epoch;
+    object_version version;
+};
+
+/// False for what a restored store has of an earlier time: in a new era an
+/// owner writes only after it has raised the epoch.
+bool is_newer(const assignments_stamp& a, const assignments_stamp& than);
+
 /// Content of lease/<group>: tells the candidates that the owner is alive. It
 /// proves nothing; authority is the epoch in assignments/<group>.
 struct group_lease
--- a/control/manager.cpp
+++ b/control/manager.cpp
@@ -29,7 +29,7 @@
 store_reply read(store::object_store& store, const object_key& key)
 {
     const store::object o = store.get(key);
-    return {reply_outcome::done, o.value, o.version};
+    return {reply_outcome::done, o.value, o.version, store.era()};
 }
 
 store_reply write(store::object_store& store, const object_key& key,
@@ -40,7 +40,8 @@
     const bool is_written = put.status == store::put_status::written;
     return {is_written ? reply_outcome::done : reply_outcome::conflict,
             {},
-            put.version};
+            put.version,
+            store.era()};
 }
 
 store_reply perform(store::object_store& store, const group_id& group,
--- a/control/ownership.cpp
+++ b/control/ownership.cpp
@@ -1,5 +1,6 @@
 #include "control/ownership.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace poplar::control
@@ -170,19 +171,21 @@
     if (!reply.value.empty())
         read = parse_group_assignments(reply.value);
     if (proposed_ && read.write_id == proposed_->write_id)
-        return settle(reply.version, now);
+        return settle(reply, now);
     if (state_ == state::owner && read.epoch == current_.epoch &&
         read.owner == options_.instance && reply.version == version_)
     {
         must_verify_ = false;
         return;
     }
-    current_ = read;
+    const owner_epoch newest = std::max(read.epoch, current_.epoch);
+    if (!is_outdated(read, reply.era))
+        current_ = read;
     version_ = reply.version;
     if (state_ == state::owner || proposed_)
         return become_follower(now); // Another process took over.
-    group_assignments next = read;
-    next.epoch = owner_epoch(read.epoch.value + 1);
+    group_assignments next = current_;
+    next.epoch = owner_epoch(next_in_era(newest.value, reply.era));
     next.owner = options_.instance;
     start_put(std::move(next));
     state_ = state::taking;
@@ -193,7 +196,7 @@
     switch (reply.outcome)
     {
     case reply_outcome::done:
-        return settle(reply.version, now);
+        return settle(reply, now);
     case reply_outcome::conflict:
         outstanding_.reset();
         must_verify_ = true;
@@ -215,10 +218,22 @@
     }
 }
 
-void ownership::settle(object_version version, mono_time now)
+bool ownership::is_outdated(const group_assignments& read, store_era era) const
 {
-    version_ = version;
+    if (is_of_era(current_.epoch.value, era) || read.epoch > current_.epoch)
+        return false;
+    // Under one epoch only its owner writes.
+    return read.epoch < current_.epoch || current_.owner == options_.instance;
+}
+
+/// What was written under an epoch of an earlier era is no authority: those
+/// who follow the group wait for a higher one.
+void ownership::settle(const store_reply& reply, mono_time now)
+{
+    version_ = reply.version;
     current_ = *std::exchange(proposed_, std::nullopt);
+    if (!is_of_era(current_.epoch.value, reply.era))
+        return become_follower(now);
     is_unresolved_ = false;
     must_verify_ = false;
     if (state_ != state::owner)
--- a/control/ownership.hpp
+++ b/control/ownership.hpp
@@ -60,6 +60,7 @@
     reply_outcome outcome = reply_outcome::unavailable;
     std::string value;      ///< Reads.
     object_version version; ///< Reads and puts.
+    store_era era;          ///< That the store named last.
 };
 
 class ownership
@@ -118,7 +119,9 @@
     void assignments_read(const store_reply& reply, mono_time now);
     void assignments_put(const store_reply& reply, mono_time now);
     void lease_put(const store_reply& reply, mono_time now);
-    void settle(object_version version, mono_time now);
+    void settle(const store_reply& reply, mono_time now);
+    /// True when the store was restored to what was before `current_`.
+    bool is_outdated(const group_assignments& read, store_era era) const;
     void become_follower(mono_time now);
     bool is_lease_over(mono_time now) const;
 
--- a/entry/live_config.cpp
+++ b/entry/live_config.cpp
@@ -78,7 +78,9 @@
     group_assignments next = parse_assignments(o);
     absl::MutexLock lock(&mutex_);
     group_assignments& stored = groups_[next.group];
-    if (stored.version >= next.version)
+    const bool is_first = stored.version == object_version();
+    if (!is_first && !control::is_newer({next.epoch, next.version},
+                                        {stored.epoch, stored.version}))
         return std::nullopt;
     stored = next;
     newest_assignments_version_ =
--- a/entry/live_config.hpp
+++ b/entry/live_config.hpp
@@ -54,8 +54,8 @@
     /// current one; returns true if it did. Throws parse_error or
     /// settings_error.
     bool take_sheet(const store::object& o);
-    /// Stores the group's assignments and returns them if their version is
-    /// above the stored one. Throws parse_error.
+    /// Stores the group's assignments and returns them if they are newer than
+    /// the stored ones. Throws parse_error.
     std::optional<group_assignments> take_assignments(const store::object& o);
 
     sheet_in_force current() const;
--- a/tests/live_config_test.cpp
+++ b/tests/live_config_test.cpp
@@ -50,5 +50,24 @@
     EXPECT_TRUE(config.take_assignments(assignments_object(3, 21)));
 }
 
+TEST(live_config, keeps_assignments_that_a_restored_store_lacks)
+{
+    const auto version = [](unsigned era, std::uint64_t revision)
+    {
+        return make_version(store_era(era), revision).value;
+    };
+    live_config config;
+    ASSERT_TRUE(config.take_assignments(assignments_object(2, 20)));
+    EXPECT_FALSE(
+        config.take_assignments(assignments_object(1, version(1, 10))));
+    EXPECT_FALSE(
+        config.take_assignments(assignments_object(2, version(1, 15))));
+    const std::uint64_t epoch = next_in_era(2, store_era(1));
+    EXPECT_TRUE(
+        config.take_assignments(assignments_object(epoch, version(1, 16))));
+    EXPECT_TRUE(
+        config.take_assignments(assignments_object(epoch, version(1, 17))));
+}
+
 } // namespace
 } // namespace poplar::entry
