Agent: no order from the older assignment of a restored store

The assignment of a copy has a version of a later era and was taken for a newer one, so that the engine was changed back. It is taken now only under a higher epoch, as in the entries.

--- a/agent/order_machine.cpp
+++ b/agent/order_machine.cpp
@@ -1,5 +1,7 @@
 #include "agent/order_machine.hpp"
 
+#include "control/assignments.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -79,7 +81,9 @@
 {
     if (a.version == assigned_.version)
         return;
-    if (a.version < assigned_.version)
+    const bool is_first = assigned_.version == object_version();
+    if (!is_first && !control::is_newer({a.epoch, a.version},
+                                        {assigned_.epoch, assigned_.version}))
         return note(order_note_kind::ignored_old_version,
                     "version " + std::to_string(a.version.value));
     // The version rises with every change in the group; most leave this part
--- a/agent/order_machine.hpp
+++ b/agent/order_machine.hpp
@@ -101,8 +101,8 @@
 public:
     explicit order_machine(order_options options);
 
-    /// From an entry or the platform. Versions not above the highest seen are
-    /// ignored.
+    /// From an entry or the platform; ignored unless it is newer than the
+    /// newest seen.
     void take_assignment(const assignment& a);
     /// assignments/<group> was read from the platform, with this instance's
     /// part if there is one; nothing is executed before.
--- a/tests/order_machine_test.cpp
+++ b/tests/order_machine_test.cpp
@@ -380,5 +380,24 @@
     EXPECT_TRUE(m.step(mono_time(seconds(8)), 0).order);
 }
 
+TEST(order_machine, does_not_go_back_to_an_assignment_of_a_restored_store)
+{
+    const auto stamped = [](std::uint64_t epoch, unsigned era,
+                            std::uint64_t revision, unsigned n)
+    {
+        const object_version version = make_version(store_era(era), revision);
+        assignment a = make_assignment(version.value, n);
+        a.epoch = owner_epoch(epoch);
+        return a;
+    };
+    order_machine m({});
+    m.take_assignment(stamped(2, 0, 20, 1));
+    m.take_assignment(stamped(1, 1, 10, 2));
+    m.take_assignment(stamped(2, 1, 15, 2));
+    EXPECT_EQ(m.assigned().setup, make_setup(1));
+    m.take_assignment(stamped(next_in_era(2, store_era(1)), 1, 16, 3));
+    EXPECT_EQ(m.assigned().setup, make_setup(3));
+}
+
 } // namespace
 } // namespace poplar::agent
