Sheet: a generation is not given out again by a restored store

After a restore the next export got a generation that was in force before: entries ignored it, and an operator who had read the lost sheet of that generation overwrote the new one unseen.

--- a/sheet/publish.cpp
+++ b/sheet/publish.cpp
@@ -113,10 +113,15 @@
                            : std::nullopt;
     }
 
+    static sheet_generation next_generation(const current_sheet& read)
+    {
+        return sheet_generation(next_in_era(read.generation().value, read.era));
+    }
+
     sheet_record next_record(const current_sheet& read) const
     {
         sheet_record r;
-        r.generation = sheet_generation(read.generation().value + 1);
+        r.generation = next_generation(read);
         r.export_id = request_.export_id;
         r.operator_name = request_.operator_name;
         r.exported_at = request_.exported_at;
@@ -134,7 +139,7 @@
         {
             const put_result put = store_.put(sheet_key, value, read.version);
             if (put.status == put_status::written)
-                return accepted(sheet_generation(read.generation().value + 1));
+                return accepted(next_generation(read));
         }
         catch (const store_error& ec)
         {
@@ -225,8 +230,8 @@
 {
     const store::object found = store.get(sheet_key);
     if (found.version == object_version())
-        return {};
-    return {found.version, parse_record(found.value)};
+        return {found.version, std::nullopt, store.era()};
+    return {found.version, parse_record(found.value), era_of(found.version)};
 }
 
 std::string make_export_id()
--- a/sheet/publish.hpp
+++ b/sheet/publish.hpp
@@ -19,6 +19,7 @@
 {
     object_version version;
     std::optional<sheet_record> record;
+    store_era era; ///< Of the answer.
 
     /// 0 when no sheet was published yet.
     sheet_generation generation() const
--- a/tests/sheet_test.cpp
+++ b/tests/sheet_test.cpp
@@ -254,6 +254,21 @@
             }};
 }
 
+TEST(sheet_publish, gives_no_generation_out_again_after_a_restore)
+{
+    memory_store store;
+    const auto copy = store.make_copy();
+    const publish_result lost = publish(store, request("a", "4"), quick());
+    store.restore(copy);
+    const publish_result other = publish(store, request("b", "5"), quick());
+    ASSERT_EQ(other.status, publish_status::accepted);
+    EXPECT_GT(other.generation, lost.generation);
+    publish_request outdated = request("c", "6");
+    outdated.base = lost.generation;
+    EXPECT_EQ(publish(store, outdated, quick()).status,
+              publish_status::conflict);
+}
+
 TEST(sheet_publish, second_operator_learns_who_won_and_the_difference)
 {
     memory_store store;
