Agent: an incarnation is not given out again by a restored store

A process that took its slot from an older copy got an incarnation that another process had had: fencing tokens were not above those that the engine knows. Incarnations of a new era are above all earlier ones.

slot.gives_no_incarnation_out_again_after_a_restore failed with the change taken out; all 17 cases of agent_stream_test pass now.

--- a/agent/slot.cpp
+++ b/agent/slot.cpp
@@ -56,10 +56,12 @@
         const store::object o = store.get(slot_key(instance));
         const slot_record held = parse_object(o);
         // An earlier write whose answer was lost took effect.
-        if (held.process == process)
+        const store_era era = store.era();
+        if (held.process == process && is_of_era(held.incarnation.value, era))
             return held.incarnation;
-        const slot_record next{agent_incarnation(held.incarnation.value + 1),
-                               to_string(address), process};
+        const slot_record next{
+            agent_incarnation(next_in_era(held.incarnation.value, era)),
+            to_string(address), process};
         const auto result =
             store.put(slot_key(instance), to_json(next), o.version);
         if (result.status == store::put_status::written)
--- a/tests/agent_stream_test.cpp
+++ b/tests/agent_stream_test.cpp
@@ -156,6 +156,21 @@
     EXPECT_EQ(read_slot(store, e1).value, 2U);
 }
 
+TEST(slot, gives_no_incarnation_out_again_after_a_restore)
+{
+    store::memory_store store;
+    const instance_id e1("e1");
+    const auto empty = store.make_copy();
+    take_slot(store, e1, engine, "a");
+    const auto copy = store.make_copy();
+    const agent_incarnation last = take_slot(store, e1, engine, "b");
+    store.restore(copy);
+    const agent_incarnation next = take_slot(store, e1, engine, "c");
+    EXPECT_GT(next, last);
+    store.restore(empty);
+    EXPECT_GT(take_slot(store, e1, engine, "c"), next);
+}
+
 TEST(agent_settings, reports_every_fault)
 {
     auto r = settings::reader::from_text("instance = 'e'\nkind = 'x'\n"
