--- a/agent/slot.cpp
+++ b/agent/slot.cpp
@@ -1,5 +1,6 @@
 #include "agent/slot.hpp"
 
+#include "base/era_numbers.hpp"
 #include "base/json_text.hpp"
 
 #include <nlohmann/json.hpp>
--- a/control/ownership.cpp
+++ b/control/ownership.cpp
@@ -1,5 +1,7 @@
 #include "control/ownership.hpp"
 
+#include "base/era_numbers.hpp"
+
 #include <algorithm>
 #include <utility>
 
--- a/ledger/shard_machine.cpp
+++ b/ledger/shard_machine.cpp
@@ -1,5 +1,7 @@
 #include "ledger/shard_machine.hpp"
 
+#include "base/era_numbers.hpp"
+
 #include <algorithm>
 #include <functional>
 #include <utility>
--- a/sheet/publish.cpp
+++ b/sheet/publish.cpp
@@ -1,6 +1,7 @@
 #include "sheet/publish.hpp"
 
 #include "base/digest.hpp"
+#include "base/era_numbers.hpp"
 
 #include <algorithm>
 #include <thread>
--- a/tests/live_config_test.cpp
+++ b/tests/live_config_test.cpp
@@ -1,5 +1,6 @@
 // Guards against replacing the sheet or the assignments with an older version
 // when a read or a watch returns late.
+#include "base/era_numbers.hpp"
 #include "entry/live_config.hpp"
 
 #include "tests/sheet_samples.hpp"
--- a/tests/order_machine_test.cpp
+++ b/tests/order_machine_test.cpp
@@ -1,6 +1,7 @@
 // Guards against conflicting or outdated orders to an engine, against streams
 // cut by an order, and against an agent that never reaches its assignment.
 #include "agent/order_machine.hpp"
+#include "base/era_numbers.hpp"
 
 #include <array>
 #include <gtest/gtest.h>
