--- a/tests/platform/scripted_upstream.cpp
+++ b/tests/platform/scripted_upstream.cpp
@@ -39,6 +39,17 @@
     return at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
 }
 
+bool is_whole_answer(const std::string& bytes)
+{
+    const auto end = bytes.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    const std::string head = bytes.substr(0, end + 4);
+    if (head.find("Transfer-Encoding: chunked") != std::string::npos)
+        return bytes.find("\r\n0\r\n\r\n", end) != std::string::npos;
+    return bytes.size() >= head.size() + body_length(head);
+}
+
 } // namespace
 
 scripted_upstream::scripted_upstream(script answer)
@@ -284,6 +295,22 @@
     return text;
 }
 
+received_answer scripted_caller::read_answer(duration limit)
+{
+    const mono_time deadline = now() + limit;
+    received_answer answer;
+    while (now() < deadline && answer.is_open && !answer.is_whole)
+    {
+        if (!is_readable(socket_, poll_interval))
+            continue;
+        const std::string more = receive(socket_);
+        answer.is_open = !more.empty();
+        answer.bytes += more;
+        answer.is_whole = is_whole_answer(answer.bytes);
+    }
+    return answer;
+}
+
 bool scripted_caller::is_closed(duration limit)
 {
     const mono_time deadline = now() + limit;
--- a/tests/platform/scripted_upstream.hpp
+++ b/tests/platform/scripted_upstream.hpp
@@ -87,6 +87,13 @@
 /// `text` encoded as one HTTP chunk.
 std::string chunk(const std::string& text);
 
+struct received_answer
+{
+    std::string bytes;
+    bool is_whole = false; ///< By its length or its last chunk.
+    bool is_open = true;
+};
+
 /// A blocking client connection.
 class scripted_caller
 {
@@ -101,6 +108,9 @@
     /// passed; returns the bytes received.
     std::string read_until(const std::string& end,
                            duration limit = std::chrono::seconds(5));
+    /// Reads until the answer is whole, the connection is closed or `limit` has
+    /// passed.
+    received_answer read_answer(duration limit);
     /// Waits up to `limit`; true when the server has closed the connection.
     bool is_closed(duration limit = std::chrono::seconds(2));
     void close();
