--- a/tests/platform/soak_faults.cpp
+++ b/tests/platform/soak_faults.cpp
@@ -200,6 +200,7 @@
 {
     clear_faults();
     put_odd_entry(f);
+    const unsigned served_before = executions.served();
     wait(calm_time);
     copies_ = {store_.make_copy()};
     leave(f);
@@ -212,6 +213,8 @@
     };
     EXPECT_TRUE(std::ranges::any_of(gateways_, must_act))
         << "no process is held to what was written";
+    EXPECT_GT(executions.served(), served_before + 20)
+        << "beside odd entry " << f.amount % platform::odd_entries().size();
     restore_store(f);
     inject_on_gateway({fault_kind::end_gateway, f.target, 0, 0});
     wait(milliseconds(2 * f.amount) + acting_time);
--- a/tests/platform/soak_records.cpp
+++ b/tests/platform/soak_records.cpp
@@ -92,6 +92,12 @@
     ++served_;
 }
 
+unsigned execution_log::served() const
+{
+    const std::lock_guard lock(mutex_);
+    return served_;
+}
+
 void execution_log::record_loss(const lost_answer& lost)
 {
     const std::lock_guard lock(mutex_);
--- a/tests/platform/soak_records.hpp
+++ b/tests/platform/soak_records.hpp
@@ -80,6 +80,7 @@
     void record_break(const std::string& id);
     void record_refusal(const std::string& id);
     void record_success();
+    unsigned served() const;
     void record_loss(const lost_answer& lost);
     /// Requests with the prefix "once" must be executed at most once, refused
     /// ones never.
