Soak: a connection that lost bytes does not go on

Long streams arrive in one segment an event, so that the rest still parsed. Such connections now stay silent for good.

--- a/tests/platform/soak_faults.cpp
+++ b/tests/platform/soak_faults.cpp
@@ -55,6 +55,12 @@
 {
     const auto [place, link] = link_at(f.target);
     faults.begin(place);
+    // Otherwise a connection could go on with a gap in its bytes.
+    if (dropping_.erase(place) > 0)
+        link->silence_open_connections();
+    if (f.kind == fault_kind::drop_to_target ||
+        f.kind == fault_kind::drop_to_client)
+        dropping_.insert(place);
     switch (f.kind)
     {
     case fault_kind::cut_link:
@@ -193,6 +199,7 @@
         link->set_faults({});
         faults.end(place);
     }
+    dropping_.clear();
     write_again();
 }
 
--- a/tests/platform/soak_world.hpp
+++ b/tests/platform/soak_world.hpp
@@ -130,7 +130,8 @@
     std::vector<std::unique_ptr<relayed_upstream>> upstreams_;
     std::vector<std::unique_ptr<relayed_upstream>> engines_;
     testing_support::scratch_folder folder_;
-    std::mutex mutex_; ///< For `gateways_` and `leaving_`.
+    std::set<fault_place> dropping_; ///< Links that drop bytes.
+    std::mutex mutex_;               ///< For `gateways_` and `leaving_`.
     std::vector<gateway_slot> gateways_;
     std::vector<std::unique_ptr<leaving_upstream>> leaving_;
     std::vector<store::memory_store::copy> copies_;
