--- a/tests/platform/soak_world.cpp
+++ b/tests/platform/soak_world.cpp
@@ -156,7 +156,11 @@
     {
         const std::size_t i = std::stoul(gateway.substr(1));
         EXPECT_NE(u.informed.at(i), gateways_.at(i).number)
-            << id << " was sent to " << u.id << ", which is " << u.state;
+            << id << " was sent to " << u.id << ", which is " << u.state << ", "
+            << to_milliseconds(now() - u.last_informed_at)
+            << " ms after the last process had to know, "
+            << to_milliseconds(now() - faults.calm_since("store"))
+            << " ms after the last fault of the store";
     }
     return {whole_answer(200, id, "end of " + id, "Response-Seal: s\r\n")};
 }
@@ -358,8 +362,12 @@
         slot.informed = slot.number;
     }
     for (auto& it : leaving_)
-        if (it->state != "ready" && after(it->written_at, leave_bound))
+        if (it->state != "ready" && it->informed.at(i) != slot.number &&
+            after(it->written_at, leave_bound))
+        {
             it->informed.at(i) = slot.number;
+            it->last_informed_at = now();
+        }
 }
 
 } // namespace poplar::gateway
--- a/tests/platform/soak_world.hpp
+++ b/tests/platform/soak_world.hpp
@@ -54,6 +54,7 @@
     mono_time written_at{};
     /// For each gateway the incarnation that has had time to see it leave.
     std::vector<incarnation> informed;
+    mono_time last_informed_at{}; ///< When `informed` changed last.
 };
 
 class soak_world
