--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -28,8 +28,8 @@
 /// Interval of checks of a connection that was idle for too long and on which
 /// a request is arriving.
 constexpr duration idle_check_interval = std::chrono::milliseconds(100);
-/// Timeout of one write to a caller that does not read; also for written data
-/// that the kernel has not sent.
+/// Timeout of one write to a caller that does not read; also of data that the
+/// kernel has taken and the caller has not acknowledged.
 constexpr duration write_timeout = std::chrono::seconds(10);
 
 asio::redirect_error_t<asio::use_awaitable_t<>> redirect_to(error_code& ec)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -58,7 +58,6 @@
 /// Fraction of the retry ratio that is granted. The rest is a margin for the
 /// ratio measured over a time window.
 constexpr double retry_ratio_share = 0.8;
-
 constexpr int missed_heartbeats_to_lapse = 3;
 /// This gateway may detect an outage of the store later than the upstreams do.
 constexpr duration outage_detection_margin = std::chrono::milliseconds(1000);
