--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -33,8 +33,8 @@
 /// Interval of checks of a connection that was idle for too long and on which
 /// a request is arriving.
 constexpr duration idle_check_interval = std::chrono::milliseconds(100);
-/// Timeout of one write to a caller that does not read; also for written data
-/// that the kernel has not sent.
+/// Timeout of one write to a caller that does not read; also of data that the
+/// kernel has taken and the caller has not acknowledged.
 constexpr duration write_timeout = std::chrono::seconds(10);
 /// Maximum time for which a connection is kept after its last answer, until the
 /// caller closes its side.
