Control: assignments of one era are compared by version alone

The check for restored stores also compared epochs within one era, so that an agent ignored a higher version that names a lower epoch. Versions decide there, as before.

agent_test.serves_but_orders_nothing_during_an_outage_at_start failed since the check was added; all 21 cases pass now, as do order_machine_test, live_config_test and control_test.

--- a/control/assignments.cpp
+++ b/control/assignments.cpp
@@ -76,10 +76,9 @@
 
 bool is_newer(const assignments_stamp& a, const assignments_stamp& than)
 {
-    if (a.epoch != than.epoch)
-        return a.epoch > than.epoch;
-    return era_of(a.version) == era_of(than.version) &&
-           a.version > than.version;
+    if (era_of(a.version) == era_of(than.version))
+        return a.version > than.version;
+    return a.epoch > than.epoch;
 }
 
 object_key assignments_key(const group_id& group)
