Agent: the slot is taken again when a restored store lacks it

An agent whose slot was gone or older after a restore went on under its incarnation, which the next process could get as well. It gives up its authority and takes the slot again, with an incarnation of the new era.

agent_test.takes_its_slot_again_when_a_restored_store_lacks_it failed with the change taken out; all 21 cases pass now.

--- a/agent/platform_keeper.cpp
+++ b/agent/platform_keeper.cpp
@@ -53,7 +53,13 @@
             observe::log(observe::event::slot_taken,
                          {{"incarnation", incarnation_->value}});
         }
-        const agent_incarnation present = read_slot(store_, options_.instance);
+        agent_incarnation present = read_slot(store_, options_.instance);
+        if (present < *incarnation_) // The store was restored from a copy.
+        {
+            hooks_.held({});
+            incarnation_.reset();
+            return hold_slot();
+        }
         if (present > *incarnation_)
         {
             is_superseded_ = true;
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -395,6 +395,18 @@
     EXPECT_TRUE(engine.orders().empty());
 }
 
+TEST_F(agent_test, takes_its_slot_again_when_a_restored_store_lacks_it)
+{
+    const auto empty = store.make_copy();
+    start_ready();
+    ASSERT_TRUE(eventually([this] { return store.writes() == 1; }));
+    const agent_incarnation before = read_slot(store, settings.instance);
+    store.restore(empty);
+    EXPECT_TRUE(eventually(
+        [&] { return read_slot(store, settings.instance) > before; }));
+    EXPECT_FALSE(subject->is_superseded());
+}
+
 TEST_F(agent_test, finishes_open_streams_at_shutdown)
 {
     engine.hold_after = 5;
