Shutdown test: a request that was passed on never counts as crossing the close

A connection that ends within 30 ms of its request may have been closed while the request was on its way. The test now also asks the upstream: such a request must not have reached it.

--- a/tests/platform/gateway_stop_process_test.cpp
+++ b/tests/platform/gateway_stop_process_test.cpp
@@ -7,7 +7,9 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <mutex>
 #include <netinet/in.h>
+#include <set>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -141,6 +143,8 @@
 TEST_F(stopped_process, answers_requests_when_it_is_suspended_at_its_end)
 {
     outcomes seen;
+    std::mutex mutex;
+    std::set<std::string> crossed;
     for (int moment = 0; moment < 30; ++moment)
     {
         const auto g =
@@ -150,14 +154,18 @@
         callers.reserve(caller_count);
         for (std::size_t i = 0; i < caller_count; ++i)
             callers.emplace_back(
-                [&, at = g->http(), id = std::to_string(i)]
+                [&, at = g->http(),
+                 prefix = std::to_string(moment) + "-" + std::to_string(i)]
                 {
                     outcome last = outcome::answered;
                     for (int n = 0; last != outcome::not_connected; ++n)
                     {
-                        last = call(at, request("/once/x",
-                                                id + "-" + std::to_string(n)));
+                        const std::string id = prefix + "-" + std::to_string(n);
+                        last = call(at, request("/once/x", id));
                         ++seen.counts.at(std::size_t(last));
+                        const std::lock_guard lock(mutex);
+                        if (last == outcome::crossed_the_close)
+                            crossed.insert(id);
                     }
                 });
         g->terminate();
@@ -172,6 +180,10 @@
     EXPECT_GT(seen.of(outcome::answered), 1000U);
     EXPECT_EQ(seen.of(outcome::unanswered), 0U);
     EXPECT_EQ(seen.of(outcome::silent), 0U);
+    for (const std::string& head : upstream_.heads())
+        EXPECT_FALSE(crossed.contains(field_of(head, "Attempt-Id")))
+            << "passed on and not answered:\n"
+            << head;
     std::cout << "answered " << seen.of(outcome::answered)
               << ", crossed the close " << seen.of(outcome::crossed_the_close)
               << "\n";
