--- /dev/null
+++ b/review/standins/engines.cpp
@@ -0,0 +1,254 @@
+// Stand-ins of model workers that take orders. Each one registers in the store
+// and records every order that reaches it. Commands on standard input:
+//   add N    starts N more workers
+//   late N   leaves the next N orders unanswered, to be carried out later
+#include "base/time.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace
+{
+
+using nlohmann::json;
+using poplar::net::http_request;
+using poplar::net::http_response;
+using poplar::net::responder_ptr;
+
+/// Time of a change of stage.
+constexpr auto switch_time = std::chrono::seconds(3);
+/// Time after which an unanswered order is carried out.
+constexpr auto late_time = std::chrono::seconds(8);
+/// Every third worker starts in the other stage.
+constexpr std::size_t stage_period = 3;
+
+struct shared_state
+{
+    poplar::ip_address store;
+    json entry; ///< Template of a registration.
+    poplar::net::http_client client;
+    std::mutex mutex;
+    std::ofstream record;
+    unsigned orders_to_leave = 0;
+    std::size_t zones = 3;
+
+    void note(const json& line);
+    bool leaves_order();
+};
+
+std::int64_t unix_milliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+void shared_state::note(const json& line)
+{
+    const std::lock_guard lock(mutex);
+    json stamped{{"ms", unix_milliseconds()}};
+    stamped.update(line);
+    record << stamped.dump() << std::endl;
+}
+
+bool shared_state::leaves_order()
+{
+    const std::lock_guard lock(mutex);
+    if (orders_to_leave == 0)
+        return false;
+    --orders_to_leave;
+    return true;
+}
+
+class engine
+{
+public:
+    engine(shared_state& shared, std::size_t index);
+
+    void register_first();
+
+private:
+    void handle(const http_request& request, const responder_ptr& out);
+    void take_order(const http_request& request, const responder_ptr& out);
+    /// Returns the status of the answer.
+    unsigned carry_out(const json& order);
+    void finish_change(const std::string& stage);
+    void write_entry(const std::string& method);
+    json report();
+
+    shared_state& shared_;
+    const std::string id_;
+    const std::string zone_;
+    const std::int64_t born_ = unix_milliseconds();
+    std::mutex mutex_;
+    std::string stage_;
+    bool is_changing_ = false;
+    std::uint64_t orders_ = 0;
+    std::uint64_t entry_number_ = 0;
+    poplar::net::http_server server_;
+};
+
+engine::engine(shared_state& shared, std::size_t index)
+    : shared_(shared), id_("w" + std::to_string(index)),
+      zone_("zone" + std::to_string(index % shared.zones)),
+      stage_(index % stage_period == stage_period - 1 ? "prefill" : "decode"),
+      server_({.listen = {"127.0.0.1", 0}, .threads = 1},
+              [this](const http_request& request, const responder_ptr& out)
+              { handle(request, out); })
+{
+}
+
+void engine::register_first()
+{
+    write_entry("POST");
+    shared_.note({{"worker", id_}, {"starts_in", stage_}});
+}
+
+void engine::write_entry(const std::string& method)
+{
+    json spec = shared_.entry;
+    {
+        const std::lock_guard lock(mutex_);
+        spec["address"] = poplar::to_string(server_.address());
+        spec["zone"] = zone_;
+        spec["stage"] = stage_;
+        spec["born"] = born_;
+        spec["seq"] = ++entry_number_;
+    }
+    poplar::net::client_request request;
+    request.method = method;
+    request.to = shared_.store;
+    request.path = "/objects/servers";
+    if (method == "PUT")
+        request.path += "/" + id_;
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = json{{"metadata", {{"name", id_}}}, {"spec", spec}}.dump();
+    request.timeout = std::chrono::seconds(2);
+    shared_.client.fetch(std::move(request));
+}
+
+json engine::report()
+{
+    const std::lock_guard lock(mutex_);
+    return {{"stage", stage_},      {"models", shared_.entry.at("models")},
+            {"busy", is_changing_}, {"seq", orders_},
+            {"queued", 0},          {"active", 0},
+            {"kvUsed", 0},          {"kvTotal", 500000},
+            {"kvHandles", 0}};
+}
+
+void engine::handle(const http_request& request, const responder_ptr& out)
+{
+    if (request.path == "/order")
+        return take_order(request, out);
+    if (request.path == "/report")
+        return out->respond(poplar::net::json_response(200, report().dump()));
+    if (request.path == "/kv-list")
+        return out->respond(poplar::net::json_response(
+            200,
+            json{{"epoch", 1}, {"next", 1}, {"held", json::array()}}.dump()));
+    out->respond(poplar::net::json_response(404, "{}"));
+}
+
+void engine::take_order(const http_request& request, const responder_ptr& out)
+{
+    const json order = json::parse(request.body, nullptr, false);
+    if (order.is_discarded())
+        return out->respond(poplar::net::json_response(400, "{}"));
+    if (!shared_.leaves_order())
+    {
+        const unsigned status = carry_out(order);
+        shared_.note({{"worker", id_}, {"order", order}, {"answer", status}});
+        return out->respond(poplar::net::json_response(status, "{}"));
+    }
+    shared_.note({{"worker", id_}, {"order", order}, {"answer", "none"}});
+    std::thread(
+        [this, order, out]
+        {
+            std::this_thread::sleep_for(late_time);
+            const unsigned status = carry_out(order);
+            shared_.note(
+                {{"worker", id_}, {"carried_out_late", order}, {"as", status}});
+            out->abort();
+        })
+        .detach();
+}
+
+unsigned engine::carry_out(const json& order)
+{
+    const std::lock_guard lock(mutex_);
+    const std::string stage = order.value("stage", "");
+    if (order.value("opcode", "") != "stage" || stage.empty())
+        return 400;
+    if (is_changing_ ||
+        (order.contains("expected") && order["expected"] != orders_))
+        return 409;
+    if (stage == stage_)
+        return 200;
+    ++orders_;
+    is_changing_ = true;
+    std::thread([this, stage] { finish_change(stage); }).detach();
+    return 202;
+}
+
+void engine::finish_change(const std::string& stage)
+{
+    std::this_thread::sleep_for(switch_time);
+    {
+        const std::lock_guard lock(mutex_);
+        stage_ = stage;
+        is_changing_ = false;
+    }
+    write_entry("PUT");
+    shared_.note({{"worker", id_}, {"now_in", stage}});
+}
+
+void add_engines(std::vector<std::unique_ptr<engine>>& all,
+                 shared_state& shared, std::size_t count)
+{
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        all.push_back(std::make_unique<engine>(shared, all.size()));
+        all.back()->register_first();
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 4)
+    {
+        std::cerr << "usage: review-engines STORE ENTRY_FILE RECORD_FILE\n";
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    shared_state shared;
+    shared.store = poplar::parse_ip_address(argv[1]);
+    std::ifstream entry(argv[2]);
+    shared.entry = json::parse(entry);
+    shared.record.open(argv[3], std::ios::app);
+    std::vector<std::unique_ptr<engine>> engines;
+    std::string command;
+    std::size_t n = 0;
+    while (std::cin >> command >> n)
+    {
+        if (command == "add")
+            add_engines(engines, shared, n);
+        const std::lock_guard lock(shared.mutex);
+        if (command == "late")
+            shared.orders_to_leave = unsigned(n);
+    }
+    std::_Exit(0); // Threads of late orders may still wait.
+}
