--- a/review/standins/engines.cpp
+++ b/review/standins/engines.cpp
@@ -1,7 +1,7 @@
 // Stand-ins of model workers that take orders. Each one registers in the store
 // and records every order that reaches it. Commands on standard input:
 //   add N    starts N more workers
-//   late N   leaves the next N orders unanswered, to be carried out later
+//   slow N   makes the next N workers that get an order slow from then on
 #include "base/time.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -28,8 +29,11 @@
 
 /// Time of a change of stage.
 constexpr auto switch_time = std::chrono::seconds(3);
-/// Time after which an unanswered order is carried out.
-constexpr auto late_time = std::chrono::seconds(8);
+/// Time from the arrival of an order to its answer.
+constexpr auto answer_time = std::chrono::milliseconds(150);
+constexpr int slow_factor = 5;
+/// Reports give the state as of this long ago.
+constexpr auto report_lag = std::chrono::milliseconds(200);
 /// Every third worker starts in the other stage.
 constexpr std::size_t stage_period = 3;
 
@@ -40,11 +44,11 @@
     poplar::net::http_client client;
     std::mutex mutex;
     std::ofstream record;
-    unsigned orders_to_leave = 0;
+    unsigned workers_to_slow = 0;
     std::size_t zones = 3;
 
     void note(const json& line);
-    bool leaves_order();
+    bool takes_slowness();
 };
 
 std::int64_t unix_milliseconds()
@@ -62,12 +66,12 @@
     record << stamped.dump() << std::endl;
 }
 
-bool shared_state::leaves_order()
+bool shared_state::takes_slowness()
 {
     const std::lock_guard lock(mutex);
-    if (orders_to_leave == 0)
+    if (workers_to_slow == 0)
         return false;
-    --orders_to_leave;
+    --workers_to_slow;
     return true;
 }
 
@@ -86,6 +90,7 @@
     void finish_change(const std::string& stage);
     void write_entry(const std::string& method);
     json report();
+    void keep_state();
 
     shared_state& shared_;
     const std::string id_;
@@ -94,7 +99,9 @@
     std::mutex mutex_;
     std::string stage_;
     bool is_changing_ = false;
+    bool is_slow_ = false;
     std::uint64_t orders_ = 0;
+    std::map<poplar::mono_time, json> reports_; ///< By when they were true.
     std::uint64_t entry_number_ = 0;
     poplar::net::http_server server_;
 };
@@ -107,6 +114,7 @@
               [this](const http_request& request, const responder_ptr& out)
               { handle(request, out); })
 {
+    keep_state();
 }
 
 void engine::register_first()
@@ -141,11 +149,18 @@
 json engine::report()
 {
     const std::lock_guard lock(mutex_);
-    return {{"stage", stage_},      {"models", shared_.entry.at("models")},
-            {"busy", is_changing_}, {"seq", orders_},
-            {"queued", 0},          {"active", 0},
-            {"kvUsed", 0},          {"kvTotal", 500000},
-            {"kvHandles", 0}};
+    const auto next = reports_.upper_bound(poplar::now() - report_lag);
+    return next == reports_.begin() ? next->second : std::prev(next)->second;
+}
+
+void engine::keep_state()
+{
+    reports_[poplar::now()] = {
+        {"stage", stage_},      {"models", shared_.entry.at("models")},
+        {"busy", is_changing_}, {"seq", orders_},
+        {"queued", 0},          {"active", 0},
+        {"kvUsed", 0},          {"kvTotal", 500000},
+        {"kvHandles", 0}};
 }
 
 void engine::handle(const http_request& request, const responder_ptr& out)
@@ -166,21 +181,21 @@
     const json order = json::parse(request.body, nullptr, false);
     if (order.is_discarded())
         return out->respond(poplar::net::json_response(400, "{}"));
-    if (!shared_.leaves_order())
+    const bool turns_slow = shared_.takes_slowness();
+    const unsigned status = carry_out(order);
     {
-        const unsigned status = carry_out(order);
-        shared_.note({{"worker", id_}, {"order", order}, {"answer", status}});
-        return out->respond(poplar::net::json_response(status, "{}"));
+        const std::lock_guard lock(mutex_);
+        is_slow_ = is_slow_ || turns_slow;
     }
-    shared_.note({{"worker", id_}, {"order", order}, {"answer", "none"}});
+    shared_.note({{"worker", id_},
+                  {"order", order},
+                  {"answer", status},
+                  {"slow", is_slow_}});
     std::thread(
-        [this, order, out]
+        [status, out, slow = is_slow_]
         {
-            std::this_thread::sleep_for(late_time);
-            const unsigned status = carry_out(order);
-            shared_.note(
-                {{"worker", id_}, {"carried_out_late", order}, {"as", status}});
-            out->abort();
+            std::this_thread::sleep_for(answer_time * (slow ? slow_factor : 1));
+            out->respond(poplar::net::json_response(status, "{}"));
         })
         .detach();
 }
@@ -198,6 +213,7 @@
         return 200;
     ++orders_;
     is_changing_ = true;
+    keep_state();
     std::thread([this, stage] { finish_change(stage); }).detach();
     return 202;
 }
@@ -209,6 +225,7 @@
         const std::lock_guard lock(mutex_);
         stage_ = stage;
         is_changing_ = false;
+        keep_state();
     }
     write_entry("PUT");
     shared_.note({{"worker", id_}, {"now_in", stage}});
@@ -247,8 +264,8 @@
         if (command == "add")
             add_engines(engines, shared, n);
         const std::lock_guard lock(shared.mutex);
-        if (command == "late")
-            shared.orders_to_leave = unsigned(n);
+        if (command == "slow")
+            shared.workers_to_slow = unsigned(n);
     }
-    std::_Exit(0); // Threads of late orders may still wait.
+    std::_Exit(0); // Threads that wait to answer may be left.
 }
