--- a/review/standins/engines.cpp
+++ b/review/standins/engines.cpp
@@ -24,7 +24,6 @@
 
 using nlohmann::json;
 using poplar::net::http_request;
-using poplar::net::http_response;
 using poplar::net::responder_ptr;
 
 /// Time of a change of stage.
@@ -40,7 +39,8 @@
 struct shared_state
 {
     poplar::ip_address store;
-    json entry; ///< Template of a registration.
+    json entry;  ///< Template of a registration.
+    json report; ///< Template of a report.
     poplar::net::http_client client;
     std::mutex mutex;
     std::ofstream record;
@@ -155,12 +155,11 @@
 
 void engine::keep_state()
 {
-    reports_[poplar::now()] = {
-        {"stage", stage_},      {"models", shared_.entry.at("models")},
-        {"busy", is_changing_}, {"seq", orders_},
-        {"queued", 0},          {"active", 0},
-        {"kvUsed", 0},          {"kvTotal", 500000},
-        {"kvHandles", 0}};
+    json state = shared_.report;
+    state["stage"] = stage_;
+    state["busy"] = is_changing_;
+    state["seq"] = orders_;
+    reports_[poplar::now()] = state;
 }
 
 void engine::handle(const http_request& request, const responder_ptr& out)
@@ -247,14 +246,16 @@
 {
     if (argc != 4)
     {
-        std::cerr << "usage: review-engines STORE ENTRY_FILE RECORD_FILE\n";
+        std::cerr << "usage: review-engines STORE WORKER_FILE RECORD_FILE\n";
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
     shared_state shared;
     shared.store = poplar::parse_ip_address(argv[1]);
-    std::ifstream entry(argv[2]);
-    shared.entry = json::parse(entry);
+    std::ifstream file(argv[2]);
+    const json worker = json::parse(file);
+    shared.entry = worker.at("entry");
+    shared.report = worker.at("report");
     shared.record.open(argv[3], std::ios::app);
     std::vector<std::unique_ptr<engine>> engines;
     std::string command;
