--- a/review/common.sh
+++ b/review/common.sh
@@ -3,8 +3,26 @@
 bin=target/review/bin
 folder=$(mktemp -d)
 started=()
-# Addresses of this run: two machines of the system on the loopback range.
-net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
+
+# is_free IP PORT: true when nothing accepts connections there.
+is_free() { ! (exec 4<>"/dev/tcp/$1/$2") 2>/dev/null; }
+
+# Two addresses of the loopback range for the machines of the system, and ports
+# that are free on both. The template names the port 9464 itself.
+choose_addresses() {
+    local i
+    for ((i = 0; i < 100; ++i)); do
+        net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
+        port=$((RANDOM % 20000 + 20000))
+        is_free "$net.1" 9464 && is_free "$net.2" 9464 &&
+            is_free "$net.1" "$port" && is_free "$net.2" "$port" &&
+            is_free "$net.1" $((port + 1)) && is_free "$net.2" $((port + 1)) &&
+            return
+    done
+    echo "no free ports" >&2
+    exit 2
+}
+choose_addresses
 
 end_all() {
     local pid
@@ -60,8 +78,8 @@
 # settings NAME IP: the settings that the platform makes from the template.
 settings() {
     sed -e "s/{{nodeName}}/$1/; s/{{zone}}/zone0/; s/{{ip}}/$2/" \
-        -e "s/{{listen.front}}/$2:8149/; s/{{listen.ready}}/$2:8141/" \
-        -e "s/{{internalPorts.1}}/7395/; s/{{platform.address}}/$store/" \
+        -e "s/{{listen.front}}/$2:$port/; s/{{listen.ready}}/$2:$((port + 1))/" \
+        -e "s/{{internalPorts.1}}/$((port + 2))/; s/{{platform.address}}/$store/" \
         -e 's/{{bounds.retryBudgetRatio}}/0.2/' \
         -e 's/{{bounds.retryBudgetSlack}}/52/' \
         -e 's/{{bounds.configApplyMs}}/2000/; s/{{bounds.leaseMs}}/3000/' \
@@ -69,10 +87,12 @@
         deploy/gateway.toml.template
 }
 
-is_ready() {
-    [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "http://$1:8141/ready")" \
-        = 200 ]
+# wait_for_end PID: the platform sends SIGKILL 8 s after SIGTERM.
+wait_for_end() {
+    wait_until 8 has_ended "$1" || kill -KILL "$1"
+    wait "$1" 2>/dev/null
 }
+has_ended() { ! kill -0 "$1" 2>/dev/null; }
 
 # start_gateway NAME IP: sets the variable pid.
 start_gateway() {
