Logs tell which process of an upstream leaves, and late requests to it

Cause: events 902 and 903 named the upstream, not its process, so that an entry that returns could not be told from a restart under the same id, and nothing showed a request that was sent to an upstream known to leave.

Change: 902 and 903 carry the start of the process, 902 also the number of the upstream's write; event 935 names an answer to a request that was sent after the gateway had learned that the upstream leaves, and for how long. No decision changes.

--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -102,14 +102,19 @@
     set_limits(*u);
     const bool is_ready = record.state == upstream_state::ready;
     if (!is_ready)
+    {
         u->connections.close_idle();
+        note_departure(*u, departure_source::entry, now());
+    }
     observe::log(event::gateway_upstream_changed,
                  {{"upstream", record.id.value},
                   {"service", record.service.value},
                   {"address", to_string(record.address)},
                   {"stage", to_string(record.stage)},
                   {"state", is_ready ? "ready" : "draining"},
-                  {"leaving", u->health.is_leaving() ? "yes" : "no"}});
+                  {"leaving", u->health.is_leaving() ? "yes" : "no"},
+                  {"started_ms", record.started_ms},
+                  {"write", record.write_number}});
 }
 
 void fleet::remove(const upstream_id& id, mono_time now)
@@ -120,7 +125,9 @@
     const bool is_lapse = may_lapse(now) && !u->health.is_leaving() &&
                           u->record.state == upstream_state::ready;
     observe::log(event::gateway_upstream_removed,
-                 {{"upstream", id.value}, {"lapsed", is_lapse ? "yes" : "no"}});
+                 {{"upstream", id.value},
+                  {"started_ms", u->record.started_ms},
+                  {"lapsed", is_lapse ? "yes" : "no"}});
     if (!is_lapse)
     {
         ended_[{u->key, u->record.started_ms}] = now;
@@ -132,7 +139,7 @@
         settings_.reregistration_time;
 }
 
-bool fleet::may_have_ended(const leaving_upstream& process, mono_time now) const
+bool fleet::may_have_ended(const upstream_process& process, mono_time now) const
 {
     return store_restored_at_ != mono_time{} &&
            now - store_restored_at_ < settings_.ended_entry_time &&
@@ -191,11 +198,11 @@
                   { return now - it.second.removed_at >= max_absence; });
 }
 
-std::vector<leaving_upstream> fleet::leaving(std::size_t max_count,
+std::vector<upstream_process> fleet::leaving(std::size_t max_count,
                                              mono_time now) const
 {
-    std::vector<leaving_upstream> found;
-    const auto add = [&](const leaving_upstream& it)
+    std::vector<upstream_process> found;
+    const auto add = [&](const upstream_process& it)
     {
         if (found.size() < max_count)
             found.push_back(it);
@@ -209,10 +216,10 @@
     return found;
 }
 
-void fleet::apply_reported_leaving(std::span<const leaving_upstream> reported,
+void fleet::apply_reported_leaving(std::span<const upstream_process> reported,
                                    mono_time now)
 {
-    for (const leaving_upstream& it : reported)
+    for (const upstream_process& it : reported)
     {
         const upstream_ptr u = find_by_key(it.upstream);
         if (!u || u->record.started_ms != it.started_ms)
@@ -234,8 +241,10 @@
 void fleet::note_answer(upstream& u, const answer_info& answer,
                         std::optional<mono_time> sent, mono_time now)
 {
+    log_late_request(u, answer, sent);
     if (answer.is_leaving && !u.health.is_leaving())
     {
+        note_departure(u, departure_source::answer, now);
         u.health.mark_leaving();
         u.connections.close_idle();
         observe::log(event::gateway_upstream_leaving,
@@ -263,6 +272,29 @@
     propagate_health(u, now);
 }
 
+void fleet::note_departure(const upstream& u, departure_source source,
+                           mono_time now)
+{
+    departures_.try_emplace({u.key, u.record.started_ms},
+                            departure{source, now});
+}
+
+void fleet::log_late_request(const upstream& u, const answer_info& answer,
+                             std::optional<mono_time> sent) const
+{
+    const auto it = departures_.find({u.key, u.record.started_ms});
+    if (it == departures_.end() || !sent || *sent <= it->second.learned_at)
+        return;
+    const bool is_entry = it->second.source == departure_source::entry;
+    observe::log(
+        event::gateway_late_request,
+        {{"upstream", u.record.id.value},
+         {"started_ms", u.record.started_ms},
+         {"request", answer.id.value},
+         {"told_by", is_entry ? "entry" : "upstream"},
+         {"known_for_ms", to_milliseconds(*sent - it->second.learned_at)}});
+}
+
 /// Copies health learned from an answer to the current entry of the process.
 /// The entry may have been removed and restored while the call was open, so `u`
 /// may no longer be the listed object.
@@ -376,7 +408,9 @@
     for (const upstream_ptr& it : lapsed)
     {
         observe::log(event::gateway_upstream_removed,
-                     {{"upstream", it->record.id.value}, {"lapsed", "ended"}});
+                     {{"upstream", it->record.id.value},
+                      {"started_ms", it->record.started_ms},
+                      {"lapsed", "ended"}});
         erase(it);
     }
     discard_old_health(now);
@@ -384,6 +418,8 @@
     log_limited_calls(now);
     std::erase_if(ended_, [&](const auto& it)
                   { return now - it.second >= settings_.ended_memory; });
+    std::erase_if(departures_, [&](const auto& it)
+                  { return now - it.second.learned_at >= max_absence; });
 }
 
 void fleet::close_idle_connections()
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -68,12 +68,25 @@
 
 using upstream_ptr = std::shared_ptr<upstream>;
 
-/// An upstream process that is draining or has ended.
-struct leaving_upstream
+/// One run of an upstream's process.
+struct upstream_process
 {
     std::uint64_t upstream = 0; ///< Digest of its id.
     std::int64_t started_ms = 0;
-    auto operator<=>(const leaving_upstream&) const = default;
+    auto operator<=>(const upstream_process&) const = default;
+};
+
+/// How this gateway learned that an upstream leaves.
+enum class departure_source
+{
+    entry, ///< Its entry in the store says `draining`.
+    answer ///< It said so in an answer.
+};
+
+struct departure
+{
+    departure_source source = departure_source::entry;
+    mono_time learned_at{};
 };
 
 /// What an upstream process announced in an answer to a gateway: a limit on the
@@ -167,12 +180,12 @@
 
     /// At most `max_count` upstreams that are draining or ended within
     /// `ended_report_time`.
-    std::vector<leaving_upstream> leaving(std::size_t max_count,
+    std::vector<upstream_process> leaving(std::size_t max_count,
                                           mono_time now) const;
     /// Stops using upstreams that a peer gateway reports as leaving. The peer
     /// may see a store change seconds earlier than this gateway, whose watch
     /// may have stalled.
-    void apply_reported_leaving(std::span<const leaving_upstream> reported,
+    void apply_reported_leaving(std::span<const upstream_process> reported,
                                 mono_time now);
 
     /// At most `max_count` limits, or ends of limits, that this gateway learned
@@ -234,6 +247,13 @@
     };
 
     service_fleet& fleet_of(const service_id& service);
+    /// Records that the process leaves, unless that is known.
+    void note_departure(const upstream& u, departure_source source,
+                        mono_time now);
+    /// Logs an answer to a request that was sent after the gateway had learned
+    /// that the upstream leaves.
+    void log_late_request(const upstream& u, const answer_info& answer,
+                          std::optional<mono_time> sent) const;
     /// Tries to connect to an engine at which requests broke off.
     asio::awaitable<void> probe_process(upstream_ptr u);
     /// Counts the requests that broke off at the engine as crashes, unless it
@@ -259,7 +279,7 @@
     bool may_lapse(mono_time now) const;
     /// True if an entry of this process comes from the copy that the store was
     /// restored from, although it had been removed or replaced before.
-    bool may_have_ended(const leaving_upstream& process, mono_time now) const;
+    bool may_have_ended(const upstream_process& process, mono_time now) const;
 
     asio::io_context& context_;
     fleet_settings settings_;
@@ -269,7 +289,8 @@
     std::map<service_id, service> configured_;
     std::map<upstream_id, saved_health> saved_health_;
     /// Upstreams whose entries were removed or replaced, with the time of it.
-    std::map<leaving_upstream, mono_time> ended_;
+    std::map<upstream_process, mono_time> ended_;
+    std::map<upstream_process, departure> departures_;
     policy::fatal_block_detector fatal_blocks_;
     /// Requests that broke off at engines whose processes may have ended.
     std::vector<broken_off> broken_off_;
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -53,7 +53,7 @@
     std::vector<reported_block> blocks;
     /// Empty if the sender does not know the state of the configuration.
     std::optional<followed_state> configuration;
-    std::vector<leaving_upstream> leaving;
+    std::vector<upstream_process> leaving;
     demand_by_service demand;
     std::vector<announced_limit> limits;
     std::vector<policy::block_crash> crashes;
--- a/gateway/load_report.cpp
+++ b/gateway/load_report.cpp
@@ -49,12 +49,12 @@
 }
 
 std::vector<fb::leaving_upstream>
-to_wire(const std::vector<leaving_upstream>& leaving)
+to_wire(const std::vector<upstream_process>& leaving)
 {
     std::vector<fb::leaving_upstream> out;
     std::ranges::transform(
         leaving, std::back_inserter(out),
-        [](const leaving_upstream& it)
+        [](const upstream_process& it)
         { return fb::leaving_upstream(it.upstream, it.started_ms); });
     return out;
 }
--- a/gateway/types.hpp
+++ b/gateway/types.hpp
@@ -109,6 +109,8 @@
     engine_stage stage = engine_stage::none;
     std::uint32_t slots = 1;     ///< Requests served concurrently.
     std::int64_t started_ms = 0; ///< Unix time; distinguishes restarts.
+    /// Number of this write among those of the process; 0 if not stated.
+    std::uint64_t write_number = 0;
 };
 
 /// A piece of a prompt that is cached as a unit. A cached block is only usable
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -141,7 +141,7 @@
 // A peer gateway may see a store change that this gateway misses.
 TEST_F(fleet_test, does_not_use_an_upstream_while_others_report_that_it_leaves)
 {
-    const leaving_upstream reported{upstreams_.find(upstream_id("u"))->key, 0};
+    const upstream_process reported{upstreams_.find(upstream_id("u"))->key, 0};
     upstreams_.apply_reported_leaving({&reported, 1}, time_);
     EXPECT_FALSE(is_used("u"));
     time_ += milliseconds(1500);
@@ -154,7 +154,7 @@
 
 TEST_F(fleet_test, uses_the_next_process_under_an_id_that_is_reported_leaving)
 {
-    const leaving_upstream earlier{upstreams_.find(upstream_id("u"))->key, -1};
+    const upstream_process earlier{upstreams_.find(upstream_id("u"))->key, -1};
     upstreams_.apply_reported_leaving({&earlier, 1}, time_);
     EXPECT_TRUE(is_used("u"));
 }
--- a/tests/platform/objects_test.cpp
+++ b/tests/platform/objects_test.cpp
@@ -87,11 +87,13 @@
     const auto r = decode_upstream(
         object_key("servers/i-1"),
         R"({"service":"w","address":"1.2.3.4:1","zone":"z","slots":64,
-            "state":"draining","stage":"prefill","born":17})");
+            "state":"draining","stage":"prefill","born":17,
+            "seq":5})");
     EXPECT_EQ(r.id.value, "i-1");
     EXPECT_EQ(r.stage, gateway::engine_stage::prefill);
     EXPECT_EQ(r.state, gateway::upstream_state::draining);
     EXPECT_EQ(r.started_ms, 17);
+    EXPECT_EQ(r.write_number, 5U);
 }
 
 TEST(object_dialect, writes_under_a_condition)
