Limit the bytes that an HTTP client keeps of one answer

What callers saw (reported by other operators): a worker sent bytes without end, the process that had called it ran out of memory and all its requests ended.

Cause: net::http_client kept whatever arrived until the timeout of the call. A gateway reads the report of an engine and the answer to an order with it for 1 s each, so a faulty engine could fill its memory.

Change: a head or collected body above max_response_bytes (16 MiB, 64 KiB for engines) ends the exchange as broken. Trailers count as head.

Heads were limited by libcurl. A chunk extension is not kept, the call ends at its timeout.

--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -29,6 +29,7 @@
 constexpr duration order_timeout = seconds(14);
 /// Timeout of a call to an engine.
 constexpr duration call_timeout = seconds(1);
+constexpr std::size_t max_engine_answer_bytes = std::size_t(64) << 10;
 /// A service whose demand is below this number of busy engines counts as unused
 /// so far.
 constexpr double min_demand = 0.05;
@@ -231,6 +232,7 @@
     request.to = engine.address;
     request.path = platform::report_path();
     request.timeout = call_timeout;
+    request.max_response_bytes = max_engine_answer_bytes;
     const net::client_result result = client_.fetch(std::move(request));
     if (result.failure != net::client_failure::none ||
         result.response.status != 200)
@@ -276,6 +278,7 @@
     net::client_request request = platform::encode_order(order);
     request.timeout = call_timeout;
     request.fresh_connection = true;
+    request.max_response_bytes = max_engine_answer_bytes;
     if (!lease_.may_order())
         return;
     const net::client_result result = client_.fetch(std::move(request));
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -45,6 +45,9 @@
     /// End the connection when the other side has gone silent, long before the
     /// timeout; for calls that wait.
     bool ends_when_silent = false;
+    /// A longer head or collected body ends the exchange as broken. Pieces that
+    /// are passed to `body_piece` are not limited.
+    std::size_t max_response_bytes = std::size_t(16) << 20;
 };
 
 struct client_result
--- a/net/transfer.cpp
+++ b/net/transfer.cpp
@@ -136,6 +136,8 @@
 {
     auto* self = static_cast<transfer*>(cls);
     self->last_bytes_ = now();
+    if (!self->count_response_bytes(size * count))
+        return 0;
     self->add_header_line({data, size * count});
     return size * count;
 }
@@ -172,13 +174,21 @@
     auto* self = static_cast<transfer*>(cls);
     const std::string_view piece(data, size * count);
     self->last_bytes_ = now();
-    if (!self->hooks_.body_piece)
-        self->result_.response.body.append(piece);
-    else
+    if (self->hooks_.body_piece)
         self->paused_ = !self->hooks_.body_piece(piece);
+    else if (!self->count_response_bytes(piece.size()))
+        return 0;
+    else
+        self->result_.response.body.append(piece);
     return self->paused_ ? CURL_WRITEFUNC_PAUSE : piece.size();
 }
 
+bool transfer::count_response_bytes(std::size_t n)
+{
+    response_bytes_ += n;
+    return response_bytes_ <= request_.max_response_bytes;
+}
+
 mono_time transfer::deadline() const
 {
     if (request_.idle_timeout == duration::zero())
@@ -209,6 +219,10 @@
     // libcurl reports an answer that ends within its head as complete.
     if (code == CURLE_OK && !has_whole_head_)
         return fail(client_failure::broken, "the head of the answer broke off");
+    if (response_bytes_ > request_.max_response_bytes)
+        return fail(client_failure::broken,
+                    "the answer is longer than " +
+                        std::to_string(request_.max_response_bytes) + " bytes");
     fail(classify(code), code == CURLE_OK ? "" : curl_easy_strerror(code));
 }
 
