Check the entry of an upstream again before a request is sent

What callers saw: nothing; a request reached an upstream after its entry had become draining or had been removed.

Cause: a call that was being connected, which takes up to 400 ms, asked only the health of its upstream before it was sent, not the entry.

With a silent watch, whose change arrives up to 1.9 s after it was made, 400 ms more pass the bound of 2 s.

Change: upstream::accepts_requests covers entry, removal and health, and begin_call asks it. Calls of the gateway's own, which free KV cache, still reach an upstream that drains.

--- a/gateway/exchange_prefill.cpp
+++ b/gateway/exchange_prefill.cpp
@@ -177,7 +177,8 @@
         if (it->record.address == kv.source)
             return asio::co_spawn(
                 state_.loop,
-                release_kv(it, kv, info_.id, state_.upstreams.begin_call(it)),
+                release_kv(it, kv, info_.id,
+                           state_.upstreams.begin_own_call(it)),
                 asio::detached);
 }
 
--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -44,6 +44,12 @@
     placed.penalty_seconds = health.penalty_seconds();
 }
 
+bool upstream::accepts_requests(mono_time now) const
+{
+    return !is_removed && record.state == upstream_state::ready &&
+           health.accepts_requests(now);
+}
+
 bool upstream::is_saturated(mono_time now) const
 {
     return !limit->admits(now) || connections.is_full();
@@ -162,6 +168,7 @@
 void fleet::erase(const upstream_ptr& it)
 {
     save_health(*it, now());
+    it->is_removed = true;
     it->placed.usable = false;
     it->connections.close_idle();
     std::erase(fleet_of(it->record.service).members, it);
@@ -318,13 +325,23 @@
 call_hooks fleet::begin_call(const upstream_ptr& u)
 {
     u->limit->record_call(now());
-    return {[u] { return u->health.accepts_requests(now()); },
+    return {[u] { return u->accepts_requests(now()); },
             [this, u](const answer_info& a, std::optional<mono_time> sent)
             {
                 note_answer(*u, a, sent, now());
             }};
 }
 
+call_hooks fleet::begin_own_call(const upstream_ptr& u)
+{
+    call_hooks hooks = begin_call(u);
+    hooks.may_send = [u]
+    {
+        return u->health.accepts_requests(now());
+    };
+    return hooks;
+}
+
 std::optional<duration> fleet::shortest_pause(const service_fleet& service,
                                               mono_time now)
 {
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -57,6 +57,13 @@
     /// upstream stays in use until this time, so that it can register again.
     /// Zero while the entry exists.
     mono_time lapse_deadline{};
+    /// The entry was removed, or names another process now. Calls that were
+    /// begun before may still refer to this object.
+    bool is_removed = false;
+
+    /// True if a request may be sent: the upstream neither leaves nor asked for
+    /// a pause.
+    bool accepts_requests(mono_time now) const;
 
     /// Copies health, limit and entry state into `placed`, for placement
     /// decisions.
@@ -171,8 +178,12 @@
     void note_answer(upstream& u, const answer_info& answer,
                      std::optional<mono_time> sent, mono_time now);
     /// Records a call to an upstream and returns the hooks for it; the fleet
-    /// must outlive the call.
+    /// must outlive the call. Before it is sent, the hooks check again that the
+    /// upstream accepts requests.
     call_hooks begin_call(const upstream_ptr& u);
+    /// The same for a call without a request of a caller, which an upstream
+    /// that drains still takes.
+    call_hooks begin_own_call(const upstream_ptr& u);
     /// Time from `now` until the first paused or rate-limited upstream of the
     /// service may be used again; empty if there is none.
     static std::optional<duration> shortest_pause(const service_fleet& service,
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -349,7 +349,7 @@
     request.head.set(http::field::host, to_string(u->record.address));
     request.body = std::make_shared<std::string>();
     request.timeout = cache_list_timeout;
-    request.hooks = state_.upstreams.begin_call(u);
+    request.hooks = state_.upstreams.begin_own_call(u);
     upstream_call call(u->connections, std::move(request));
     call_status status = co_await call.start();
     std::string body;
