An earlier write does not bring back a process that leaves

What callers saw: nothing; requests would reach an upstream that had drained or whose entry had been removed.

Cause: the gateway kept only the last state of an entry. A write of the upstream that reaches the store late (a call without an answer may be carried out seconds later) makes the entry ready again, and the gateway used it. The class: the newest message taken for the newest state.

Change: a process that drained or announced its shutdown stays out of use, whatever entry follows; only another process returns. Writes are compared by their number: an entry that was removed is used again only by a later write, and an earlier write does not change what is known.

Evidence: suspected only.

--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -74,17 +74,29 @@
 void fleet::apply(const upstream_record& record)
 {
     upstream_ptr u = find(record.id);
+    const upstream_process process{digest(record.id.value), record.started_ms};
+    if (u && is_restarted(u->record, record) && may_have_ended(process, now()))
+        // The copy names the process that the present one replaced.
+        return remove(record.id, now());
+    if (is_written_before_end(process, record.write_number, now()))
+    {
+        observe::log(event::gateway_upstream_refused,
+                     {{"upstream", record.id.value},
+                      {"started_ms", record.started_ms},
+                      {"write", record.write_number},
+                      {"reason", "written before the entry was removed"}});
+        return;
+    }
     if (u && is_restarted(u->record, record))
     {
-        // The copy names the process that the present one replaced.
-        if (may_have_ended({u->key, record.started_ms}, now()))
-            return remove(record.id, now());
         if (u->record.started_ms != record.started_ms)
-            ended_[{u->key, u->record.started_ms}] = now();
+            ended_[process_of(*u)] = {now(), u->record.write_number};
         note_process_ended(*u);
         erase(u);
         u = nullptr;
     }
+    const bool is_earlier = u && record.write_number != 0 &&
+                            record.write_number < u->record.write_number;
     if (!u)
     {
         u = std::make_shared<upstream>(context_, record, connection_limits{});
@@ -93,25 +105,24 @@
         fleet_of(record.service).members.push_back(u);
         restore_health(*u, now());
     }
-    u->record = record;
+    if (!is_earlier)
+        u->record = record;
     u->lapse_deadline = {};
-    if (may_have_ended({u->key, record.started_ms}, now()))
+    if (may_have_ended(process, now()))
         u->health.mark_reported_leaving(store_restored_at_ +
                                         settings_.ended_entry_time);
     else
-        ended_.erase({u->key, record.started_ms});
+        ended_.erase(process);
+    apply_departure(*u, record.state, now());
     u->placed.id = record.id.value;
-    u->placed.failure_domain = record.failure_domain;
-    u->placed.stage = placed_stage_of(record.stage);
-    u->placed.slots = record.slots;
+    u->placed.failure_domain = u->record.failure_domain;
+    u->placed.stage = placed_stage_of(u->record.stage);
+    u->placed.slots = u->record.slots;
     u->update_placed(now());
     set_limits(*u);
     const bool is_ready = record.state == upstream_state::ready;
     if (!is_ready)
-    {
         u->connections.close_idle();
-        note_departure(*u, departure_source::entry, now());
-    }
     observe::log(event::gateway_upstream_changed,
                  {{"upstream", record.id.value},
                   {"service", record.service.value},
@@ -136,7 +147,7 @@
                   {"lapsed", is_lapse ? "yes" : "no"}});
     if (!is_lapse)
     {
-        ended_[{u->key, u->record.started_ms}] = now;
+        ended_[process_of(*u)] = {now, u->record.write_number};
         note_process_ended(*u);
         return erase(u);
     }
@@ -145,13 +156,6 @@
         settings_.reregistration_time;
 }
 
-bool fleet::may_have_ended(const upstream_process& process, mono_time now) const
-{
-    return store_restored_at_ != mono_time{} &&
-           now - store_restored_at_ < settings_.ended_entry_time &&
-           ended_.contains(process);
-}
-
 /// True if an entry that disappears now may have expired in a store outage, or
 /// may have been written after the copy that the store was restored from.
 bool fleet::may_lapse(mono_time now) const
@@ -205,60 +209,12 @@
                   { return now - it.second.removed_at >= max_absence; });
 }
 
-std::vector<upstream_process> fleet::leaving(std::size_t max_count,
-                                             mono_time now) const
-{
-    std::vector<upstream_process> found;
-    const auto add = [&](const upstream_process& it)
-    {
-        if (found.size() < max_count)
-            found.push_back(it);
-    };
-    for (const auto& [id, u] : upstreams_)
-        if (u->record.state != upstream_state::ready || u->health.is_leaving())
-            add({u->key, u->record.started_ms});
-    for (const auto& [it, removed_at] : ended_)
-        if (now - removed_at < settings_.ended_report_time)
-            add(it);
-    return found;
-}
-
-void fleet::apply_reported_leaving(std::span<const upstream_process> reported,
-                                   mono_time now)
-{
-    for (const upstream_process& it : reported)
-    {
-        const upstream_ptr u = find_by_key(it.upstream);
-        if (!u || u->record.started_ms != it.started_ms)
-            continue;
-        const bool was_usable = u->placed.usable;
-        u->health.mark_reported_leaving(now +
-                                        settings_.reported_leaving_timeout);
-        u->update_placed(now);
-        if (!was_usable)
-            continue;
-        u->connections.close_idle();
-        observe::log(event::gateway_upstream_leaving,
-                     {{"upstream", u->record.id.value},
-                      {"started_ms", u->record.started_ms},
-                      {"told_by", "gateway"}});
-    }
-}
-
 void fleet::note_answer(upstream& u, const answer_info& answer,
                         std::optional<mono_time> sent, mono_time now)
 {
     log_late_request(u, answer, sent);
-    if (answer.is_leaving && !u.health.is_leaving())
-    {
-        note_departure(u, departure_source::answer, now);
-        u.health.mark_leaving();
-        u.connections.close_idle();
-        observe::log(event::gateway_upstream_leaving,
-                     {{"upstream", u.record.id.value},
-                      {"started_ms", u.record.started_ms},
-                      {"told_by", "upstream"}});
-    }
+    if (answer.is_leaving)
+        note_leaving_answer(u, now);
     const duration requested = answer.pause.value_or(duration::zero());
     if (answer.has_bad_pause || requested > max_requested_pause)
         observe::log(event::gateway_upstream_bad_pause,
@@ -279,29 +235,6 @@
     propagate_health(u, now);
 }
 
-void fleet::note_departure(const upstream& u, departure_source source,
-                           mono_time now)
-{
-    departures_.try_emplace({u.key, u.record.started_ms},
-                            departure{source, now});
-}
-
-void fleet::log_late_request(const upstream& u, const answer_info& answer,
-                             std::optional<mono_time> sent) const
-{
-    const auto it = departures_.find({u.key, u.record.started_ms});
-    if (it == departures_.end() || !sent || *sent <= it->second.learned_at)
-        return;
-    const bool is_entry = it->second.source == departure_source::entry;
-    observe::log(
-        event::gateway_late_request,
-        {{"upstream", u.record.id.value},
-         {"started_ms", u.record.started_ms},
-         {"request", answer.id.value},
-         {"told_by", is_entry ? "entry" : "upstream"},
-         {"known_for_ms", to_milliseconds(*sent - it->second.learned_at)}});
-}
-
 /// Copies health learned from an answer to the current entry of the process.
 /// The entry may have been removed and restored while the call was open, so `u`
 /// may no longer be the listed object.
@@ -434,9 +367,8 @@
     discard_old_breaks(now);
     log_limited_calls(now);
     std::erase_if(ended_, [&](const auto& it)
-                  { return now - it.second >= settings_.ended_memory; });
-    std::erase_if(departures_, [&](const auto& it)
-                  { return now - it.second.learned_at >= max_absence; });
+                  { return now - it.second.at >= settings_.ended_memory; });
+    discard_old_departures(now);
 }
 
 void fleet::close_idle_connections()
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -64,7 +64,6 @@
     /// True if a request may be sent: the upstream neither leaves nor asked for
     /// a pause.
     bool accepts_requests(mono_time now) const;
-
     /// Copies health, limit and entry state into `placed`, for placement
     /// decisions.
     void update_placed(mono_time now);
@@ -257,10 +256,20 @@
         mono_time at{};
     };
 
+    /// A process whose entry was removed or replaced.
+    struct ended_process
+    {
+        mono_time at{};
+        std::uint64_t write_number = 0; ///< Of its last known write.
+    };
+
     service_fleet& fleet_of(const service_id& service);
     /// Records that the process leaves, unless that is known.
     void note_departure(const upstream& u, departure_source source,
                         mono_time now);
+    void apply_departure(upstream& u, upstream_state state, mono_time now);
+    void note_leaving_answer(upstream& u, mono_time now);
+    void discard_old_departures(mono_time now);
     /// Logs an answer to a request that was sent after the gateway had learned
     /// that the upstream leaves.
     void log_late_request(const upstream& u, const answer_info& answer,
@@ -288,6 +297,11 @@
     void log_limited_calls(mono_time now);
     void set_limits(upstream& u) const;
     bool may_lapse(mono_time now) const;
+    bool is_recently_restored(mono_time now) const;
+    /// True if the write reached the store after a later one of the process,
+    /// whose entry had been removed by then.
+    bool is_written_before_end(const upstream_process& process,
+                               std::uint64_t write_number, mono_time now) const;
     /// True if an entry of this process comes from the copy that the store was
     /// restored from, although it had been removed or replaced before.
     bool may_have_ended(const upstream_process& process, mono_time now) const;
@@ -299,8 +313,7 @@
     absl::flat_hash_map<std::uint64_t, upstream_ptr> by_key_;
     std::map<service_id, service> configured_;
     std::map<upstream_id, saved_health> saved_health_;
-    /// Upstreams whose entries were removed or replaced, with the time of it.
-    std::map<upstream_process, mono_time> ended_;
+    std::map<upstream_process, ended_process> ended_;
     std::map<upstream_process, departure> departures_;
     policy::fatal_block_detector fatal_blocks_;
     /// Requests that broke off at engines whose processes may have ended.
@@ -315,6 +328,8 @@
     duration store_outage_{}; ///< Length of the last outage.
 };
 
+upstream_process process_of(const upstream& u);
+
 std::string to_string(engine_stage stage);
 /// Upstreams that are not engines count as `decode`.
 policy::placed_stage placed_stage_of(engine_stage stage);
--- a/gateway/fleet_crashes.cpp
+++ b/gateway/fleet_crashes.cpp
@@ -20,7 +20,7 @@
 /// not crash under it. Its entry lapses within three heartbeats.
 constexpr duration max_time_to_end = std::chrono::seconds(5);
 
-policy::engine_process process_of(const upstream& u)
+policy::engine_process engine_process_of(const upstream& u)
 {
     return {u.key, u.record.started_ms};
 }
@@ -69,7 +69,7 @@
     for (const broken_off& it : broken_off_)
         if (is_here(it))
             for (const std::uint64_t block : it.blocks)
-                record_crash({block, process_of(u), it.at});
+                record_crash({block, engine_process_of(u), it.at});
     std::erase_if(broken_off_, is_here);
 }
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -320,7 +320,7 @@
         state_.upstreams.apply(platform::decode_upstream(o.key, o.value));
         refused_upstreams_.erase(name);
         const upstream_ptr u = state_.upstreams.find(upstream_id(name));
-        if (is_new && u->record.stage != engine_stage::none)
+        if (is_new && u && u->record.stage != engine_stage::none)
             asio::co_spawn(loop_, fetch_cached_blocks(u), asio::detached);
     }
     catch (const parse_error& ec)
--- a/tests/gateway/departure_test.cpp
+++ b/tests/gateway/departure_test.cpp
@@ -1,5 +1,5 @@
 // Guards against requests to an upstream that is known to leave: calls that
-// were begun before.
+// were begun before and entries that return.
 #include "gateway/fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -10,6 +10,9 @@
 {
 
 constexpr std::uint64_t first_write = 10;
+/// Start of the next process, after all requests of the test; Unix time in ms.
+constexpr std::int64_t next_start = 4'000'000'000'000;
+
 struct entry
 {
     upstream_state state = upstream_state::ready;
@@ -42,10 +45,31 @@
     {
         return upstreams_.find(upstream_id("u"));
     }
+    bool is_used()
+    {
+        upstreams_.sweep(now());
+        const upstream_ptr u = find();
+        return u && u->placed.usable && upstreams_.begin_call(u).may_send();
+    }
     void put(const entry& e)
     {
         upstreams_.apply(record_of(e));
     }
+    void drain()
+    {
+        put({upstream_state::draining, first_write + 1});
+    }
+    void remove()
+    {
+        upstreams_.remove(upstream_id("u"), now());
+    }
+    void say_leaving()
+    {
+        answer_info a;
+        a.status = 200;
+        a.is_leaving = true;
+        upstreams_.note_answer(*find(), a, now(), now());
+    }
     asio::io_context loop_;
     fleet upstreams_;
 };
@@ -86,11 +110,12 @@
         connecting_case{"entry_removed",
                         [](fleet& f) { f.remove(upstream_id("u"), now()); },
                         false},
-        connecting_case{"process_replaced",
-                        [](fleet& f) {
-                            f.apply(record_of({upstream_state::ready, 1, 2}));
-                        },
-                        false},
+        connecting_case{
+            "process_replaced",
+            [](fleet& f) {
+                f.apply(record_of({upstream_state::ready, 1, next_start}));
+            },
+            false},
         connecting_case{"said_in_another_answer",
                         [](fleet& f)
                         {
@@ -110,5 +135,117 @@
             false}),
     [](const auto& it) { return it.param.name; });
 
+enum class departure_way
+{
+    drains,
+    removed,
+    said
+};
+
+struct returned_case
+{
+    const char* name;
+    departure_way way;
+    std::vector<entry> later; ///< Entries that are written afterwards.
+    bool is_used;
+};
+
+class returned_entry : public departure_test,
+                       public testing::WithParamInterface<returned_case>
+{
+};
+
+// A write of the upstream may reach the store after a later one.
+TEST_P(returned_entry, does_not_bring_back_a_process_that_leaves)
+{
+    switch (GetParam().way)
+    {
+    case departure_way::drains:
+        drain();
+        break;
+    case departure_way::removed:
+        remove();
+        break;
+    case departure_way::said:
+        say_leaving();
+        break;
+    }
+    for (const entry& it : GetParam().later)
+        put(it);
+    EXPECT_EQ(is_used(), GetParam().is_used);
+}
+
+// A removed process is used again only by a write that is newer than the last
+// known one; an entry without write numbers is taken as it is.
+INSTANTIATE_TEST_SUITE_P(
+    writes, returned_entry,
+    testing::Values(returned_case{"drains_then_earlier_write",
+                                  departure_way::drains,
+                                  {{upstream_state::ready, first_write}},
+                                  false},
+                    returned_case{"drains_then_later_write",
+                                  departure_way::drains,
+                                  {{upstream_state::ready, first_write + 2}},
+                                  false},
+                    returned_case{"drains_then_restart",
+                                  departure_way::drains,
+                                  {{upstream_state::ready, 1, next_start}},
+                                  true},
+                    returned_case{"removed_then_same_write",
+                                  departure_way::removed,
+                                  {{upstream_state::ready, first_write}},
+                                  false},
+                    returned_case{"removed_then_earlier_write",
+                                  departure_way::removed,
+                                  {{upstream_state::ready, first_write - 1}},
+                                  false},
+                    returned_case{"removed_then_earlier_and_later_write",
+                                  departure_way::removed,
+                                  {{upstream_state::ready, first_write - 1},
+                                   {upstream_state::ready, first_write + 1}},
+                                  true},
+                    returned_case{"removed_then_later_write",
+                                  departure_way::removed,
+                                  {{upstream_state::ready, first_write + 1}},
+                                  true},
+                    returned_case{"removed_then_unnumbered_write",
+                                  departure_way::removed,
+                                  {{upstream_state::ready, 0}},
+                                  true},
+                    returned_case{"removed_then_restart",
+                                  departure_way::removed,
+                                  {{upstream_state::ready, 1, next_start}},
+                                  true},
+                    returned_case{"said_then_later_write",
+                                  departure_way::said,
+                                  {{upstream_state::ready, first_write + 1}},
+                                  false},
+                    returned_case{"said_then_restart",
+                                  departure_way::said,
+                                  {{upstream_state::ready, 1, next_start}},
+                                  true}),
+    [](const auto& it) { return it.param.name; });
+
+TEST_F(departure_test, a_draining_process_that_was_removed_does_not_return)
+{
+    drain();
+    remove();
+    put({upstream_state::ready, first_write + 2});
+    EXPECT_FALSE(is_used());
+}
+
+// An entry that returns in an outage of the store must not return with the
+// knowledge of an earlier write.
+TEST_F(departure_test, an_earlier_write_does_not_change_the_stage)
+{
+    upstream_record r = record_of({upstream_state::ready, first_write + 1});
+    r.stage = engine_stage::decode;
+    upstreams_.apply(r);
+    r.write_number = first_write;
+    r.stage = engine_stage::prefill;
+    upstreams_.apply(r);
+    EXPECT_EQ(find()->record.stage, engine_stage::decode);
+}
+
 } // namespace
 } // namespace poplar::gateway
