Note an announced shutdown for the process that gave the answer

What callers saw: nothing; requests would reach an upstream that had said in an answer that it leaves.

Cause: an answer was noted for the process that the gateway believed to have called. When an upstream starts again under its id and address and leaves soon after, a gateway that has not heard of the new entry records its word for the earlier process, and the entry of the new one, still ready, is used. A gateway that is cut off from the store is in this state for as long as the cut lasts.

Change: a request that was sent after a process had started was answered by that process; the word is applied to it, before or after its entry arrives. An answer 421 says nothing of the upstream, as another process gave it.

--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -213,8 +213,9 @@
                         std::optional<mono_time> sent, mono_time now)
 {
     log_late_request(u, answer, sent);
-    if (answer.is_leaving)
-        note_leaving_answer(u, now);
+    // The answer may come from another process at a reused address.
+    if (answer.is_leaving && answer.status != status_misdirected)
+        note_leaving_answer(u, sent, now);
     const duration requested = answer.pause.value_or(duration::zero());
     if (answer.has_bad_pause || requested > max_requested_pause)
         observe::log(event::gateway_upstream_bad_pause,
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -263,12 +263,23 @@
         std::uint64_t write_number = 0; ///< Of its last known write.
     };
 
+    /// An answer by which an upstream announced its shutdown.
+    struct said_leaving
+    {
+        std::int64_t sent_unix_ms = 0; ///< When its request was sent.
+        mono_time at{};
+    };
+
     service_fleet& fleet_of(const service_id& service);
     /// Records that the process leaves, unless that is known.
     void note_departure(const upstream& u, departure_source source,
                         mono_time now);
     void apply_departure(upstream& u, upstream_state state, mono_time now);
-    void note_leaving_answer(upstream& u, mono_time now);
+    void note_leaving_answer(upstream& u, std::optional<mono_time> sent,
+                             mono_time now);
+    /// Applies an answer that announced a shutdown to the process that gave it.
+    void apply_earlier_answer(upstream& u, std::int64_t sent_unix_ms,
+                              mono_time now);
     void discard_old_departures(mono_time now);
     /// Logs an answer to a request that was sent after the gateway had learned
     /// that the upstream leaves.
@@ -315,6 +326,7 @@
     std::map<upstream_id, saved_health> saved_health_;
     std::map<upstream_process, ended_process> ended_;
     std::map<upstream_process, departure> departures_;
+    std::map<std::uint64_t, said_leaving> said_leaving_; ///< By digest of id.
     policy::fatal_block_detector fatal_blocks_;
     /// Requests that broke off at engines whose processes may have ended.
     std::vector<broken_off> broken_off_;
--- a/gateway/fleet_departures.cpp
+++ b/gateway/fleet_departures.cpp
@@ -14,6 +14,14 @@
 /// A departure is forgotten after this time; the process has then ended.
 constexpr duration max_departure_memory = std::chrono::minutes(10);
 
+std::int64_t unix_milliseconds_ago(duration age)
+{
+    const auto at = std::chrono::system_clock::now() - age;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               at.time_since_epoch())
+        .count();
+}
+
 } // namespace
 
 upstream_process process_of(const upstream& u)
@@ -52,10 +60,22 @@
     if (departures_.contains(process_of(u)) &&
         u.record.state == upstream_state::ready)
         u.health.mark_leaving();
+    const auto said = said_leaving_.find(u.key);
+    if (said != said_leaving_.end())
+        apply_earlier_answer(u, said->second.sent_unix_ms, now);
 }
 
-void fleet::note_leaving_answer(upstream& u, mono_time now)
+void fleet::note_leaving_answer(upstream& u, std::optional<mono_time> sent,
+                                mono_time now)
 {
+    if (sent)
+    {
+        const std::int64_t sent_ms = unix_milliseconds_ago(now - *sent);
+        said_leaving_.try_emplace(u.key, said_leaving{sent_ms, now});
+        const upstream_ptr current = find(u.record.id);
+        if (current && current.get() != &u)
+            apply_earlier_answer(*current, sent_ms, now);
+    }
     if (u.health.is_leaving())
         return;
     note_departure(u, departure_source::answer, now);
@@ -67,6 +87,26 @@
                   {"told_by", "upstream"}});
 }
 
+/// A request that was sent after the process had started was answered by this
+/// process, also when the gateway knew only of the one before. The clocks of
+/// gateways and upstreams differ, so this holds for a limited time and is not
+/// reported to peers.
+void fleet::apply_earlier_answer(upstream& u, std::int64_t sent_unix_ms,
+                                 mono_time now)
+{
+    const bool is_of_this_process =
+        u.record.started_ms != 0 && sent_unix_ms >= u.record.started_ms;
+    if (!is_of_this_process || u.health.is_leaving())
+        return;
+    u.health.mark_reported_leaving(now + settings_.ended_memory);
+    u.update_placed(now);
+    u.connections.close_idle();
+    observe::log(event::gateway_upstream_leaving,
+                 {{"upstream", u.record.id.value},
+                  {"started_ms", u.record.started_ms},
+                  {"told_by", "earlier_answer"}});
+}
+
 bool fleet::is_written_before_end(const upstream_process& process,
                                   std::uint64_t write_number,
                                   mono_time now) const
@@ -82,6 +122,8 @@
                   [&](const auto& it) {
                       return now - it.second.learned_at > max_departure_memory;
                   });
+    std::erase_if(said_leaving_, [&](const auto& it)
+                  { return now - it.second.at > settings_.ended_memory; });
 }
 
 bool fleet::is_recently_restored(mono_time now) const
--- a/gateway/fleet_limits.cpp
+++ b/gateway/fleet_limits.cpp
@@ -10,8 +10,6 @@
 
 using observe::event;
 
-/// Status with which a process answers requests that are meant for another one.
-constexpr unsigned status_misdirected = 421;
 constexpr duration limited_calls_interval = std::chrono::seconds(1);
 
 } // namespace
--- a/gateway/types.hpp
+++ b/gateway/types.hpp
@@ -24,6 +24,9 @@
 /// Digest of a prefix block, valid for one model.
 using block_digest = number_id<struct block_digest_tag>;
 
+/// Status with which a process answers requests that are meant for another one.
+inline constexpr unsigned status_misdirected = 421;
+
 /// How often a request of a route may execute and how it is answered.
 enum class call_kind
 {
--- a/tests/gateway/departure_test.cpp
+++ b/tests/gateway/departure_test.cpp
@@ -1,5 +1,5 @@
 // Guards against requests to an upstream that is known to leave: calls that
-// were begun before and entries that return.
+// were begun before, entries that return, and answers of the next process.
 #include "gateway/fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -9,10 +9,20 @@
 namespace
 {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 constexpr std::uint64_t first_write = 10;
 /// Start of the next process, after all requests of the test; Unix time in ms.
 constexpr std::int64_t next_start = 4'000'000'000'000;
 
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 struct entry
 {
     upstream_state state = upstream_state::ready;
@@ -64,12 +74,17 @@
         upstreams_.remove(upstream_id("u"), now());
     }
     void say_leaving()
+    {
+        say_leaving(find(), now());
+    }
+    void say_leaving(const upstream_ptr& u, mono_time sent)
     {
         answer_info a;
         a.status = 200;
         a.is_leaving = true;
-        upstreams_.note_answer(*find(), a, now(), now());
+        upstreams_.note_answer(*u, a, sent, now());
     }
+
     asio::io_context loop_;
     fleet upstreams_;
 };
@@ -247,5 +262,57 @@
     EXPECT_EQ(find()->record.stage, engine_stage::decode);
 }
 
+struct next_process_case
+{
+    const char* name;
+    /// When the request was sent, from the start of the next process.
+    duration sent_after_start;
+    bool is_entry_first; ///< Its entry arrives before the answer.
+    bool is_used;
+};
+
+class next_process : public departure_test,
+                     public testing::WithParamInterface<next_process_case>
+{
+};
+
+// The upstream starts again under its id and address; this gateway hears of the
+// entry only after it has sent requests to the new process.
+TEST_P(next_process, is_not_used_once_its_answer_says_that_it_leaves)
+{
+    const next_process_case& c = GetParam();
+    const mono_time sent = now() - milliseconds(200);
+    const std::int64_t started_ms =
+        unix_ms() - 200 - to_milliseconds(c.sent_after_start);
+    const upstream_ptr called = find();
+    if (!c.is_entry_first)
+        say_leaving(called, sent);
+    put({upstream_state::ready, 1, started_ms});
+    if (c.is_entry_first)
+        say_leaving(called, sent);
+    EXPECT_EQ(is_used(), c.is_used);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    orders, next_process,
+    testing::Values(
+        next_process_case{"answered_then_entry", seconds(1), false, false},
+        next_process_case{"entry_then_answered", seconds(1), true, false},
+        next_process_case{"earlier_process_answered_then_entry", -seconds(1),
+                          false, true},
+        next_process_case{"entry_then_earlier_process_answered", -seconds(1),
+                          true, true}),
+    [](const auto& it) { return it.param.name; });
+
+// Another process may answer at an address that was given out again.
+TEST_F(departure_test, a_misdirected_request_says_nothing_of_the_upstream)
+{
+    answer_info a;
+    a.status = 421;
+    a.is_leaving = true;
+    upstreams_.note_answer(*find(), a, now(), now());
+    EXPECT_TRUE(is_used());
+}
+
 } // namespace
 } // namespace poplar::gateway
