Heed an announced shutdown in the answers to reports and orders

What callers saw: a request, or an order to change stage, reached an engine that had told the gateway that it leaves.

Cause: reports and orders go through net::http_client, whose answers were read for their status and body only.

Change: an answer that announces the shutdown takes the engine out of use as any other answer does, and no order follows it.

--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -233,7 +233,14 @@
     request.path = platform::report_path();
     request.timeout = call_timeout;
     request.max_response_bytes = max_engine_answer_bytes;
+    const mono_time sent = now();
     const net::client_result result = client_.fetch(std::move(request));
+    if (result.failure == net::client_failure::none &&
+        platform::announces_shutdown(result.response))
+    {
+        options_.on_leaving(engine, sent);
+        return std::nullopt;
+    }
     if (result.failure != net::client_failure::none ||
         result.response.status != 200)
     {
@@ -281,7 +288,11 @@
     request.max_response_bytes = max_engine_answer_bytes;
     if (!lease_.may_order())
         return;
+    const mono_time sent = now();
     const net::client_result result = client_.fetch(std::move(request));
+    if (result.failure == net::client_failure::none &&
+        platform::announces_shutdown(result.response))
+        options_.on_leaving(record, sent);
     const bool is_accepted =
         result.failure == net::client_failure::none &&
         (result.response.status == 200 || result.response.status == 202);
--- a/gateway/engine_control.hpp
+++ b/gateway/engine_control.hpp
@@ -39,6 +39,11 @@
     {
         return std::size_t(0);
     };
+    /// Called on the control's thread when an engine announced its shutdown in
+    /// the answer to a call sent at `sent`.
+    std::function<void(const upstream_record& engine, mono_time sent)>
+        on_leaving = [](const upstream_record&, mono_time) {
+        };
     /// Least time between the orders of two successive lease holders.
     duration order_handover_gap = std::chrono::seconds(3);
     policy::stage_plan_settings stages;
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -176,6 +176,10 @@
     /// request was sent; empty for a late answer to another request.
     void note_answer(upstream& u, const answer_info& answer,
                      std::optional<mono_time> sent, mono_time now);
+    /// Stops using a process that announced its shutdown in the answer to a
+    /// call of the gateway's own.
+    void note_leaving(const upstream_record& process, mono_time sent,
+                      mono_time now);
     /// Records a call to an upstream and returns the hooks for it; the fleet
     /// must outlive the call. Before it is sent, the hooks check again that the
     /// upstream accepts requests.
--- a/gateway/fleet_departures.cpp
+++ b/gateway/fleet_departures.cpp
@@ -107,6 +107,18 @@
                   {"told_by", "earlier_answer"}});
 }
 
+void fleet::note_leaving(const upstream_record& process, mono_time sent,
+                         mono_time now)
+{
+    const upstream_ptr u = find(process.id);
+    if (!u || u->record.address != process.address)
+        return;
+    if (u->record.started_ms != process.started_ms)
+        return apply_earlier_answer(*u, unix_milliseconds_ago(now - sent), now);
+    note_leaving_answer(*u, sent, now);
+    u->update_placed(now);
+}
+
 bool fleet::is_written_before_end(const upstream_process& process,
                                   std::uint64_t write_number,
                                   mono_time now) const
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -229,6 +229,11 @@
     {
         return gateway_index();
     };
+    o.on_leaving = [this](const upstream_record& engine, mono_time sent)
+    {
+        asio::post(loop_, [this, engine, sent]
+                   { state_.upstreams.note_leaving(engine, sent, now()); });
+    };
     control_ = std::make_unique<engine_control>(
         store_, o, [this] { return snapshot_engines(); });
 }
--- a/tests/platform/gateway_leaving_test.cpp
+++ b/tests/platform/gateway_leaving_test.cpp
@@ -158,6 +158,48 @@
                     leaving_case{"reading", "writers", "prefill", "", 200}),
     [](const auto& it) { return it.param.name; });
 
+// Before an order, the gateway reads the engine's report; it is an answer like
+// any other.
+TEST_F(gateway_test, gives_no_order_to_an_engine_whose_report_says_it_leaves)
+{
+    const auto engine = [](const std::string& head) -> scripted_answer
+    {
+        if (head.starts_with("GET /report"))
+            return {whole_answer(200, "",
+                                 R"({"stage":"decode","busy":false,"seq":0})",
+                                 "Server-Leaving: 1\r\n")};
+        return {stream_of(head, "")};
+    };
+    std::vector<std::unique_ptr<scripted_upstream>> engines;
+    for (const char* id : {"i-1", "i-2", "i-3"})
+    {
+        engines.push_back(std::make_unique<scripted_upstream>(engine));
+        add_upstream(id, engines.back()->address(), "writers", "decode");
+    }
+    start();
+    const auto heads_of = [](const scripted_upstream& u, const char* start)
+    {
+        return std::ranges::count_if(u.heads(), [&](const std::string& head)
+                                     { return head.starts_with(start); });
+    };
+    const auto was_asked = [&](const auto& it)
+    {
+        return heads_of(*it, "GET /report") > 0;
+    };
+    const mono_time limit = now() + seconds(10);
+    while (std::ranges::none_of(engines, was_asked) && now() < limit)
+        std::this_thread::sleep_for(milliseconds(20));
+    ASSERT_TRUE(std::ranges::any_of(engines, was_asked));
+    std::this_thread::sleep_for(milliseconds(300));
+    for (const char* id : {"a", "b", "c", "d", "e", "f"})
+        fetch(prompt_request(id), "\r\n\r\n");
+    for (const auto& it : engines)
+    {
+        EXPECT_EQ(heads_of(*it, "POST /order"), 0);
+        EXPECT_FALSE(was_asked(it) && heads_of(*it, "GET /stream") > 0);
+    }
+}
+
 struct pause_case
 {
     const char* name;
