A late write of an earlier process does not replace the present one

What callers saw: nothing; requests would go to the address of a process that has ended or leaves, and the process that replaced it would not be used.

Cause: an entry with another start time was always taken for a restart. Known write numbers do not help here, as the store shows a write only when more than its number changes.

A restored store is handled as before.

--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -84,7 +84,7 @@
                      {{"upstream", record.id.value},
                       {"started_ms", record.started_ms},
                       {"write", record.write_number},
-                      {"reason", "written before the entry was removed"}});
+                      {"reason", "written before the process ended"}});
         return;
     }
     if (u && is_restarted(u->record, record))
@@ -104,6 +104,7 @@
         by_key_[u->key] = u;
         fleet_of(record.service).members.push_back(u);
         restore_health(*u, now());
+        mark_replaced(process);
     }
     if (!is_earlier)
         u->record = record;
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -265,6 +265,7 @@
     {
         mono_time at{};
         std::uint64_t write_number = 0; ///< Of its last known write.
+        bool is_replaced = false;       ///< Another process runs under its id.
     };
 
     /// An answer by which an upstream announced its shutdown.
@@ -313,8 +314,10 @@
     void set_limits(upstream& u) const;
     bool may_lapse(mono_time now) const;
     bool is_recently_restored(mono_time now) const;
-    /// True if the write reached the store after a later one of the process,
-    /// whose entry had been removed by then.
+    /// Records that no earlier process under the same id will return.
+    void mark_replaced(const upstream_process& by);
+    /// True if the write reached the store late: after the entry of the process
+    /// was removed, or after another process had replaced it.
     bool is_written_before_end(const upstream_process& process,
                                std::uint64_t write_number, mono_time now) const;
     /// True if an entry of this process comes from the copy that the store was
--- a/gateway/fleet_departures.cpp
+++ b/gateway/fleet_departures.cpp
@@ -119,13 +119,22 @@
     u->update_placed(now);
 }
 
+void fleet::mark_replaced(const upstream_process& by)
+{
+    for (auto& [process, end] : ended_)
+        if (process.upstream == by.upstream && process != by)
+            end.is_replaced = true;
+}
+
 bool fleet::is_written_before_end(const upstream_process& process,
                                   std::uint64_t write_number,
                                   mono_time now) const
 {
     const auto end = ended_.find(process);
-    return end != ended_.end() && !is_recently_restored(now) &&
-           write_number != 0 && write_number <= end->second.write_number;
+    if (end == ended_.end() || is_recently_restored(now))
+        return false;
+    return end->second.is_replaced ||
+           (write_number != 0 && write_number <= end->second.write_number);
 }
 
 void fleet::discard_old_departures(mono_time now)
--- a/tests/gateway/departure_test.cpp
+++ b/tests/gateway/departure_test.cpp
@@ -262,6 +262,26 @@
     EXPECT_EQ(find()->record.stage, engine_stage::decode);
 }
 
+class replaced_process : public departure_test,
+                         public testing::WithParamInterface<bool>
+{
+};
+
+TEST_P(replaced_process, does_not_return_by_a_late_write)
+{
+    if (GetParam())
+        remove();
+    put({upstream_state::ready, 1, next_start});
+    put({upstream_state::ready, first_write + 5});
+    ASSERT_TRUE(find());
+    EXPECT_EQ(find()->record.started_ms, next_start);
+    EXPECT_TRUE(is_used());
+}
+
+INSTANTIATE_TEST_SUITE_P(ways, replaced_process, testing::Bool(),
+                         [](const auto& it)
+                         { return it.param ? "removed_before" : "replaced"; });
+
 struct next_process_case
 {
     const char* name;
