Limit heads and trailers apart from bodies

Cause: trailers counted towards the limit of 16 MiB.

Change: heads and trailers are limited to 256 KiB, near the limit that libcurl has for heads.

--- a/net/transfer.cpp
+++ b/net/transfer.cpp
@@ -17,6 +17,8 @@
 }
 
 constexpr std::string_view first_error_status = "400";
+/// libcurl limits a head in the same way, but not the trailers of a body.
+constexpr std::size_t max_head_bytes = std::size_t(256) << 10;
 
 /// Methods that may be repeated without effect (RFC 9110, 9.2.1).
 bool is_safe_method(std::string_view method)
@@ -136,7 +138,8 @@
 {
     auto* self = static_cast<transfer*>(cls);
     self->last_bytes_ = now();
-    if (!self->count_response_bytes(size * count))
+    self->head_bytes_ += size * count;
+    if (self->head_bytes_ > max_head_bytes)
         return 0;
     self->add_header_line({data, size * count});
     return size * count;
@@ -176,17 +179,16 @@
     self->last_bytes_ = now();
     if (self->hooks_.body_piece)
         self->paused_ = !self->hooks_.body_piece(piece);
-    else if (!self->count_response_bytes(piece.size()))
+    else if (piece.size() > self->body_space())
         return 0;
     else
         self->result_.response.body.append(piece);
     return self->paused_ ? CURL_WRITEFUNC_PAUSE : piece.size();
 }
 
-bool transfer::count_response_bytes(std::size_t n)
+std::size_t transfer::body_space() const
 {
-    response_bytes_ += n;
-    return response_bytes_ <= request_.max_response_bytes;
+    return request_.max_response_bytes - result_.response.body.size();
 }
 
 mono_time transfer::deadline() const
@@ -219,10 +221,9 @@
     // libcurl reports an answer that ends within its head as complete.
     if (code == CURLE_OK && !has_whole_head_)
         return fail(client_failure::broken, "the head of the answer broke off");
-    if (response_bytes_ > request_.max_response_bytes)
-        return fail(client_failure::broken,
-                    "the answer is longer than " +
-                        std::to_string(request_.max_response_bytes) + " bytes");
+    // The hooks for heads and bodies refuse bytes only above their limits.
+    if (code == CURLE_WRITE_ERROR)
+        return fail(client_failure::broken, "the answer is too long");
     fail(classify(code), code == CURLE_OK ? "" : curl_easy_strerror(code));
 }
 
--- a/net/transfer.hpp
+++ b/net/transfer.hpp
@@ -52,8 +52,8 @@
     void set_headers();
     void add_header_line(std::string_view line);
     void begin_headers(std::string_view status_line);
-    /// False once the response is longer than the request allows.
-    bool count_response_bytes(std::size_t n);
+    /// Bytes that may still be added to the body of the response.
+    std::size_t body_space() const;
     client_failure classify(CURLcode code) const;
 
     const exchange_number number_;
@@ -64,8 +64,8 @@
     client_result result_;
     bool sent_ = false; ///< The request may have left.
     bool has_whole_head_ = false;
-    std::size_t response_bytes_ = 0; ///< Of the head and the collected body.
-    mono_time end_;                  ///< Limit for the whole exchange.
+    std::size_t head_bytes_ = 0; ///< Of all heads and trailers.
+    mono_time end_;              ///< Limit for the whole exchange.
     bool paused_ = false;
     mono_time last_bytes_;
 };
