Test store: refuse watches that arrive while it stops

Cause: the destructor joined the threads of the watches; a watch that arrived afterwards, before the HTTP server ended, left a joinable thread, and the test process ended with "terminate called without an active exception".

Evidence: odd_entries_test aborted once in its first case, beside load.

Change: once the store stops, a watch is answered 503.

Measured: odd_entries_test passes 48 of 48 cases; the abort was seen once and was not provoked again.

--- a/tests/platform/object_server.cpp
+++ b/tests/platform/object_server.cpp
@@ -61,6 +61,7 @@
 {
     store_.stop_watches();
     const std::lock_guard lock(mutex_);
+    is_stopping_ = true;
     for (std::thread& it : watches_)
         it.join();
 }
@@ -81,6 +82,8 @@
     if (request.query.find("watch=") == std::string::npos)
         return respond();
     const std::lock_guard lock(mutex_);
+    if (is_stopping_)
+        return out->respond(net::json_response(503, "{}"));
     watches_.emplace_back(respond);
 }
 
--- a/tests/platform/object_server.hpp
+++ b/tests/platform/object_server.hpp
@@ -39,6 +39,7 @@
 
     store::memory_store& store_;
     std::mutex mutex_;
+    bool is_stopping_ = false;
     std::vector<std::thread> watches_;
     net::http_server server_;
 };
