Configure the build of the deploy file again

The build that deploy/system.toml names failed while it was configured: with POPLAR_ONLY_GATEWAY no test exists, and net/CMakeLists.txt set a property of http_client_endless_test. The property is now an option of poplar_test.

Measured: cmake with -DPOPLAR_ONLY_GATEWAY=ON fails on ("Can not find test to add properties to") and succeeds now.

--- a/cmake/poplar.cmake
+++ b/cmake/poplar.cmake
@@ -14,14 +14,14 @@
     ${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
-# poplar_test(NAME SOURCES... LINK targets... TIMEOUT seconds): one GoogleTest
-# binary, run by ctest as a whole. RapidCheck's seed is fixed so that the
+# poplar_test(NAME SOURCES... LINK targets... TIMEOUT seconds RUN_SERIAL): one
+# GoogleTest binary, run by ctest as a whole. RapidCheck's seed is fixed so that the
 # verdict is the same in every run; RC_PARAMS gives others.
 function(poplar_test name)
   if(POPLAR_ONLY_GATEWAY)
     return()
   endif()
-  cmake_parse_arguments(arg "" "TIMEOUT" "SOURCES;LINK" ${ARGN})
+  cmake_parse_arguments(arg "RUN_SERIAL" "TIMEOUT" "SOURCES;LINK" ${ARGN})
   if(NOT arg_TIMEOUT)
     set(arg_TIMEOUT 120)
   endif()
@@ -35,5 +35,6 @@
   set(rc "seed=20261204 max_success=1000")
   set_tests_properties(
     ${name} PROPERTIES TIMEOUT ${arg_TIMEOUT} ENVIRONMENT
-                       "POPLAR_BIN=${CMAKE_BINARY_DIR}/bin;RC_PARAMS=${rc}")
+                       "POPLAR_BIN=${CMAKE_BINARY_DIR}/bin;RC_PARAMS=${rc}"
+                       RUN_SERIAL ${arg_RUN_SERIAL})
 endfunction()
