--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -236,6 +236,31 @@
     EXPECT_EQ(decode_answer(h).keep_alive, duration(std::chrono::seconds(5)));
 }
 
+struct refusal_case
+{
+    std::int64_t microseconds;
+    const char* retry_after; ///< In seconds.
+};
+
+class refusal : public testing::TestWithParam<refusal_case>
+{
+};
+
+// Rounded to the nearest millisecond, it sent callers back up to 0.5 ms early.
+TEST_P(refusal, does_not_tell_callers_to_return_too_early)
+{
+    const answer_head h = make_refusal(
+        503, {}, std::chrono::microseconds(GetParam().microseconds));
+    EXPECT_EQ(h["Retry-After"], GetParam().retry_after);
+}
+
+INSTANTIATE_TEST_SUITE_P(pauses, refusal,
+                         testing::Values(refusal_case{1, "0.001"},
+                                         refusal_case{499'068, "0.500"},
+                                         refusal_case{499'999, "0.500"},
+                                         refusal_case{500'000, "0.500"},
+                                         refusal_case{61'000'001, "61.001"}));
+
 TEST(decode_prefill, refuses_a_body_without_handle)
 {
     EXPECT_THROW(decode_prefill("{}", {}), parse_error);
