End calls whose long request is not delivered

What callers saw: nothing; an upstream got requests seconds after it had left. A request of more than 16 KiB that was written to a kept connection whose link was cut stayed in the kernel up to the deadline of the request and arrived when the link was back, whatever the entry or the upstream had said meanwhile. Cause: the kernel's limit for unacknowledged data was raised to the deadline for long requests, since it also ends requests that an upstream reads slowly. Change: the call checks every 250 ms whether packets are in flight and none has been acknowledged for 1.5 s, and then ends. A closed connection to an upstream drops what was not acknowledged; the kernel went on sending it before. Why this works: a link that is cut acknowledges nothing, while the kernel of an upstream that does not read has acknowledged all packets in flight.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -13,9 +13,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <linux/sockios.h>
 #include <poll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace poplar::gateway
@@ -55,12 +53,6 @@
     return poll(&p, 1, 0) != 0;
 }
 
-bool has_unacknowledged_output(asio::ip::tcp::socket& socket)
-{
-    int bytes = 0;
-    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
-}
-
 /// False when the length of the body is ambiguous. Such requests are refused
 /// because they allow request smuggling: what one side parses as a body, the
 /// other may parse as a request.
@@ -103,7 +95,8 @@
     if (!stream_.socket().is_open())
         return !is_busy_;
     return !is_busy_ && !has_pending_input(stream_.socket()) &&
-           !(is_closing_ && has_unacknowledged_output(stream_.socket()));
+           !(is_closing_ &&
+             net::has_unacknowledged_output(stream_.socket().native_handle()));
 }
 
 void caller_session::end_request()
--- a/gateway/connections.hpp
+++ b/gateway/connections.hpp
@@ -108,6 +108,10 @@
     {
         return address_;
     }
+    asio::io_context& context() const
+    {
+        return context_;
+    }
 
 private:
     asio::io_context& context_;
--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -33,6 +33,11 @@
 constexpr duration acknowledgement_time =
     net::unacknowledged_limit + std::chrono::milliseconds(100);
 
+/// How often the delivery of a long request is checked.
+constexpr duration delivery_check_interval = std::chrono::milliseconds(250);
+constexpr unsigned max_checks_without_progress =
+    net::unacknowledged_limit / delivery_check_interval;
+
 void set_limit(upstream_connection& connection, duration limit)
 {
     if (limit == connection.unacknowledged_limit)
@@ -105,7 +110,8 @@
 
 upstream_call::upstream_call(connection_pool& pool, call_request request)
     : pool_(pool), request_(std::move(request)),
-      deadline_(now() + request_.timeout)
+      deadline_(now() + request_.timeout),
+      delivery_timer_(pool.context(), [this] { return check_delivery(); })
 {
 }
 
@@ -119,7 +125,7 @@
         pool_.release(std::move(connection_), now());
     }
     else if (connection_)
-        connection_->stream.close();
+        close_connection();
 }
 
 bool upstream_call::may_be_late_answer() const
@@ -141,14 +147,14 @@
 {
     is_canceled_ = true;
     if (connection_)
-        connection_->stream.close();
+        close_connection();
 }
 
 void upstream_call::give_up_stalled()
 {
     is_stalled_ = true;
     if (connection_)
-        connection_->stream.close();
+        close_connection();
 }
 
 /// The stream's timer runs on another clock than `now`, which goes on while the
@@ -180,7 +186,7 @@
 
 call_status upstream_call::status_of(const error_code& ec)
 {
-    failure_ = ec;
+    failure_ = is_undelivered_ ? asio::error::timed_out : ec;
     if (is_canceled_)
         return call_status::canceled;
     if (!ec)
@@ -256,16 +262,49 @@
         { out->is_written = !ec; });
 }
 
-/// An upstream that vanishes while it receives a long request is noticed only
-/// at the deadline or when the call stalls.
+/// The kernel's limit would also end a long request that an upstream reads
+/// slowly, so its delivery is checked here.
 void upstream_call::set_unacknowledged_limit()
 {
     const bool is_long = request_.body->size() > max_buffered_request;
     set_limit(*connection_, is_long ? time_left() : net::unacknowledged_limit);
-    if (!is_long)
+    if (is_long)
+        delivery_timer_.start(delivery_check_interval);
+    else
         raise_limit_when_acknowledged(connection_);
 }
 
+/// Counts checks instead of time, since the peer has no chance to acknowledge
+/// anything while the machine of this process is suspended.
+duration upstream_call::check_delivery()
+{
+    const int socket = connection_->stream.socket().native_handle();
+    const auto current = net::read_delivery(socket);
+    const bool is_delivered =
+        outgoing_->is_written && !net::has_unacknowledged_output(socket);
+    if (!current || is_delivered)
+        return time_left();
+    const bool has_progress = !current->is_in_flight ||
+                              current->acknowledged != delivery_.acknowledged;
+    checks_without_progress_ = has_progress ? 0 : checks_without_progress_ + 1;
+    delivery_ = *current;
+    if (checks_without_progress_ >= max_checks_without_progress)
+    {
+        is_undelivered_ = true;
+        close_connection();
+    }
+    return delivery_check_interval;
+}
+
+/// The kernel would go on sending after the call has ended.
+void upstream_call::close_connection()
+{
+    const int socket = connection_->stream.socket().native_handle();
+    if (net::has_unacknowledged_output(socket))
+        net::discard_output_on_close(socket);
+    connection_->stream.close();
+}
+
 asio::awaitable<call_status> upstream_call::read_head()
 {
     parser_.emplace();
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/connections.hpp"
+#include "gateway/interval_timer.hpp"
 #include "gateway/types.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -131,6 +132,10 @@
     asio::awaitable<call_status> connect();
     void send();
     void set_unacknowledged_limit();
+    /// Ends the call if a long request is not being delivered; returns the time
+    /// until the next check.
+    duration check_delivery();
+    void close_connection();
     asio::awaitable<call_status> read_head();
     asio::awaitable<call_status> skip_body();
     call_status status_of(const error_code& ec);
@@ -147,12 +152,16 @@
     mono_time deadline_;
     connection_ptr connection_;
     std::shared_ptr<outgoing> outgoing_;
+    interval_timer delivery_timer_;
+    net::delivery delivery_; ///< At the last check.
+    unsigned checks_without_progress_ = 0;
     mono_time sent_at_{};
     std::optional<parser> parser_;
     answer_info info_;
     error_code failure_;
     bool is_canceled_ = false;
     bool is_stalled_ = false;
+    bool is_undelivered_ = false;
     bool is_interrupted_ = false;
     bool is_complete_ = false;
     /// An answer to another request was skipped.
--- a/net/socket.cpp
+++ b/net/socket.cpp
@@ -6,8 +6,10 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
+#include <linux/tcp.h> // tcpi_bytes_acked, which <netinet/tcp.h> lacks
 #include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -94,6 +96,27 @@
                int(to_milliseconds(limit)));
 }
 
+std::optional<delivery> read_delivery(int socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return std::nullopt;
+    return delivery{info.tcpi_bytes_acked, info.tcpi_unacked > 0};
+}
+
+bool has_unacknowledged_output(int socket)
+{
+    int bytes = 0;
+    return ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+void discard_output_on_close(int socket)
+{
+    const linger reset{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
 int listen_on(const ip_address& at)
 {
     native_address native = to_native(at);
--- a/net/socket.hpp
+++ b/net/socket.hpp
@@ -4,6 +4,9 @@
 #include "base/address.hpp"
 #include "base/time.hpp"
 
+#include <cstdint>
+#include <optional>
+
 namespace poplar::net
 {
 
@@ -28,4 +31,23 @@
 /// ends the connection. That time also passes while a live peer does not read.
 void set_unacknowledged_limit(int socket, duration limit);
 
+/// How far the bytes written to a connection have got.
+struct delivery
+{
+    std::uint64_t acknowledged = 0; ///< Bytes since the connection was opened.
+    /// Bytes were sent and are not acknowledged. False while the other side
+    /// lets nothing be sent because it does not read.
+    bool is_in_flight = false;
+};
+
+/// Empty if the socket is not connected.
+std::optional<delivery> read_delivery(int socket);
+
+/// True if bytes that were written are not acknowledged.
+bool has_unacknowledged_output(int socket);
+
+/// Has the kernel reset the connection when it is closed, and drop bytes that
+/// were written and are not acknowledged.
+void discard_output_on_close(int socket);
+
 } // namespace poplar::net
--- a/tests/platform/scripted_upstream.cpp
+++ b/tests/platform/scripted_upstream.cpp
@@ -218,6 +218,8 @@
         if (answer.resets)
             break;
         ::send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+        if (answer.packet_loss_after > duration::zero())
+            lose_packets(socket, answer.packet_loss_after);
         if (!send_pieces(socket, answer) || answer.closes ||
             answer.resets_after)
             break;
--- a/tests/platform/scripted_upstream.hpp
+++ b/tests/platform/scripted_upstream.hpp
@@ -24,6 +24,8 @@
     duration delay{};          ///< Time before `bytes` are sent.
     /// Time at the end of `delay` in which packets from the client are lost.
     duration packet_loss{};
+    /// Time after `bytes` in which packets from the client are lost.
+    duration packet_loss_after{};
     /// Sent after `bytes`, each one after `pause`.
     std::vector<std::string> pieces;
     duration pause{};
