Hold what a peer reported while the store is not connected

A gateway that is cut off from the store knows of a departure only from its peers. It forgot their report after 2 s, and the entry that it still had said that the upstream was ready. Measured: 3 of 5 cases of the new tests in departure_test fail with the code before (cut_off, cut_off_and_suspended, a_report_ends_when_the_store_is_back); all pass now.

--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -350,6 +350,9 @@
 void fleet::sweep(mono_time now)
 {
     std::vector<upstream_ptr> lapsed;
+    if (!store_connected_)
+        extend_reported_leaving(now);
+    last_sweep_at_ = now;
     for (const auto& [id, u] : upstreams_)
     {
         u->connections.close_expired(now);
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -138,7 +138,8 @@
     /// some seconds old.
     duration ended_memory{std::chrono::seconds(60)};
     /// Time for which an upstream is not used after a peer gateway reported it
-    /// as leaving; peers repeat the upstream in each report.
+    /// as leaving; peers repeat the upstream in each report. Without connection
+    /// to the store the time starts when the connection is back.
     duration reported_leaving_timeout{std::chrono::milliseconds(2000)};
     /// Time for which ended upstreams are reported to peers: several times as
     /// long as a stalled store watch can go unnoticed.
@@ -286,6 +287,7 @@
     void apply_earlier_answer(upstream& u, std::int64_t sent_unix_ms,
                               mono_time now);
     void discard_old_departures(mono_time now);
+    void extend_reported_leaving(mono_time now);
     /// Logs an answer to a request that was sent after the gateway had learned
     /// that the upstream leaves.
     void log_late_request(const upstream& u, const answer_info& answer,
@@ -341,6 +343,7 @@
     std::vector<std::string> peers_; ///< Other gateways.
     mono_time limited_calls_logged_at_{};
     bool store_connected_ = false;
+    mono_time last_sweep_at_{};
     mono_time store_lost_at_{};
     mono_time store_back_at_{};
     mono_time store_restored_at_{};
--- a/gateway/fleet_departures.cpp
+++ b/gateway/fleet_departures.cpp
@@ -176,6 +176,15 @@
     return found;
 }
 
+/// The entry that this gateway knows may be from before the departure.
+void fleet::extend_reported_leaving(mono_time now)
+{
+    for (const auto& [id, u] : upstreams_)
+        if (u->health.is_reported_leaving(last_sweep_at_))
+            u->health.mark_reported_leaving(now +
+                                            settings_.reported_leaving_timeout);
+}
+
 void fleet::apply_reported_leaving(std::span<const upstream_process> reported,
                                    mono_time now)
 {
--- a/tests/gateway/departure_test.cpp
+++ b/tests/gateway/departure_test.cpp
@@ -324,6 +324,60 @@
                           true, true}),
     [](const auto& it) { return it.param.name; });
 
+struct reported_case
+{
+    const char* name;
+    bool is_connected;       ///< To the store.
+    duration sweep_interval; ///< Longer while the process is suspended.
+    duration checked_after;
+    bool is_used;
+};
+
+class reported_departure : public departure_test,
+                           public testing::WithParamInterface<reported_case>
+{
+};
+
+// The report of a peer was forgotten after 2 s, also by a gateway that is cut
+// off from the store and knows an entry from before the departure.
+TEST_P(reported_departure, holds_while_the_store_is_not_connected)
+{
+    const reported_case& c = GetParam();
+    const mono_time start = now();
+    upstreams_.set_store_connected(c.is_connected, start);
+    upstreams_.sweep(start);
+    const upstream_process process{find()->key, 1};
+    upstreams_.apply_reported_leaving({&process, 1}, start);
+    for (duration t = c.sweep_interval; t <= c.checked_after;
+         t += c.sweep_interval)
+        upstreams_.sweep(start + t);
+    EXPECT_EQ(find()->placed.usable, c.is_used);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    outages, reported_departure,
+    testing::Values(
+        reported_case{"connected", true, milliseconds(250), seconds(3), true},
+        reported_case{"connected_at_first", true, milliseconds(250),
+                      milliseconds(1500), false},
+        reported_case{"cut_off", false, milliseconds(250), seconds(30), false},
+        reported_case{"cut_off_and_suspended", false, seconds(10), seconds(30),
+                      false}),
+    [](const auto& it) { return it.param.name; });
+
+TEST_F(departure_test, a_report_ends_when_the_store_is_back)
+{
+    const mono_time start = now();
+    upstreams_.set_store_connected(false, start);
+    const upstream_process process{find()->key, 1};
+    upstreams_.apply_reported_leaving({&process, 1}, start);
+    upstreams_.sweep(start + seconds(10));
+    ASSERT_FALSE(find()->placed.usable);
+    upstreams_.set_store_connected(true, start + seconds(10));
+    upstreams_.sweep(start + seconds(13));
+    EXPECT_TRUE(find()->placed.usable);
+}
+
 // Another process may answer at an address that was given out again.
 TEST_F(departure_test, a_misdirected_request_says_nothing_of_the_upstream)
 {
