Test stores: a write of an equal value changes nothing

The users' store neither raises the revision nor sends an event for a PUT that changes nothing; the stores of the tests did both, so that no test could see a process that takes such a write for news to others. Applies to memory_store (and object_server, which serves it) and to the objects of the stand-in platform.

--- a/standin/platform/objects.cpp
+++ b/standin/platform/objects.cpp
@@ -39,6 +39,8 @@
     const std::uint64_t current = version_of(key);
     if (current != expected || (current == 0 && !value))
         return {false, current};
+    if (current != 0 && value == objects_.at(key).value)
+        return {true, current};
     objects_[key] = {++revision_, std::move(value)};
     changes_.push_back({revision_, key});
     if (changes_.size() > history_)
--- a/store/memory_store.cpp
+++ b/store/memory_store.cpp
@@ -41,8 +41,11 @@
     const object_version current = version_of(at);
     if (current != expected)
         return {put_status::conflict, current};
-    at = {++revision_, value ? *value : "", value == nullptr};
     ++writes_;
+    const bool is_change =
+        !value || current == object_version() || at.value != *value;
+    if (is_change)
+        at = {++revision_, value ? *value : "", value == nullptr};
     if (faults_.lose_answers > 0)
     {
         --faults_.lose_answers;
