Order lease: no two records are equal

Cause: the record held the name of the holder and a count of renewals that begins at 0 in each process, so that the first write of a restarted process could be its predecessor's record word for word. The store then keeps the revision and sends no event; the writer took the answer for an acquisition, and the others went by the revision and took the lease too. Change: the record also holds a random name of the process, and an answer whose revision is not newer than the expected one is no acquisition.

--- a/gateway/order_lease.cpp
+++ b/gateway/order_lease.cpp
@@ -1,6 +1,8 @@
 #include "gateway/order_lease.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace poplar::gateway
 {
@@ -11,11 +13,21 @@
 /// Era of a store that has not been restored; 0 for one that names none.
 constexpr store_era first_era{1};
 
+std::string make_process_name()
+{
+    std::random_device random;
+    return absl::StrCat(absl::Hex(random(), absl::kZeroPad8),
+                        absl::Hex(random(), absl::kZeroPad8),
+                        absl::Hex(random(), absl::kZeroPad8),
+                        absl::Hex(random(), absl::kZeroPad8));
+}
+
 } // namespace
 
 order_lease::order_lease(store::object_store& store,
                          order_lease_settings settings, clock_source clock)
-    : store_(store), settings_(std::move(settings)), clock_(std::move(clock))
+    : store_(store), settings_(std::move(settings)), clock_(std::move(clock)),
+      process_(make_process_name())
 {
 }
 
@@ -74,14 +86,16 @@
 {
     const mono_time before = clock_();
     const nlohmann::json record{{"holder", settings_.holder},
+                                {"process", process_},
                                 {"renewals", ++renewals_}};
     own_version_ = object_version();
     const store_era era_before = store_.era();
     const store::put_result result =
         store_.put(settings_.key, record.dump(), expected);
     // The record of a restored store may have had the expected revision, too.
+    // Without a newer revision the others have not seen the write.
     if (result.status != store::put_status::written ||
-        era_of(result.version) != era_before)
+        era_of(result.version) != era_before || result.version <= expected)
         return std::nullopt;
     own_version_ = result.version;
     valid_until_ = before + settings_.validity;
--- a/gateway/order_lease.hpp
+++ b/gateway/order_lease.hpp
@@ -30,7 +30,8 @@
 /// `handover_gap` + `margin` on its own clock. It starts to measure after the
 /// holder does, since it can observe a renewal only after it was sent. A record
 /// of a restored store says nothing about the holder: a renewal, or the record
-/// itself, may be gone.
+/// itself, may be gone. No two writes are equal, since the store neither counts
+/// nor announces a write that changes nothing.
 class order_lease
 {
 public:
@@ -57,6 +58,9 @@
     store::object_store& store_;
     const order_lease_settings settings_;
     const clock_source clock_;
+    /// Tells the records of this process from those of earlier processes of the
+    /// same instance: the store does not count a write of an equal record.
+    const std::string process_;
     /// Version of this process's last write; 0 if none or if it failed.
     object_version own_version_;
     /// Version last read of a record that another process wrote.
--- a/tests/gateway/order_lease_test.cpp
+++ b/tests/gateway/order_lease_test.cpp
@@ -83,6 +83,48 @@
     EXPECT_FALSE(after.lease.acquire());
 }
 
+// The first record of the new process was equal to the one before, so that the
+// others did not see that the lease had been taken.
+TEST(order_lease, of_a_restarted_holder_is_seen_by_the_others)
+{
+    store::memory_store store;
+    test_gateway before(store, "a");
+    const auto first = before.lease.acquire();
+    ASSERT_TRUE(first);
+    test_gateway after(store, "a");
+    test_gateway other(store, "b");
+    ASSERT_FALSE(after.lease.acquire());
+    ASSERT_FALSE(other.lease.acquire());
+    after.time += seconds(5);
+    other.time += seconds(5);
+    const auto second = after.lease.acquire();
+    ASSERT_TRUE(second);
+    EXPECT_GT(*second, *first);
+    EXPECT_FALSE(other.lease.acquire());
+}
+
+/// A store that answers writes as if they changed nothing.
+struct unchanged_store : store::memory_store
+{
+    store::put_result put(const object_key&, const std::string&,
+                          object_version expected) override
+    {
+        return {store::put_status::written, expected};
+    }
+};
+
+TEST(order_lease, is_not_acquired_by_a_write_that_changes_nothing)
+{
+    unchanged_store store;
+    const object_key key = order_lease_settings().key;
+    store.memory_store::put(key, "{}", object_version());
+    test_gateway a(store, "a");
+    ASSERT_FALSE(a.lease.acquire());
+    a.time += seconds(5);
+    EXPECT_FALSE(a.lease.acquire());
+    EXPECT_FALSE(a.lease.may_order());
+}
+
 TEST(order_lease, is_not_taken_at_once_when_a_restored_store_lacks_it)
 {
     store::memory_store store;
