HTTP client: a request does not arrive after its exchange has ended

Same class as the long request to an upstream that left: what was written to a connection whose link was cut stayed in the kernel when the exchange ended at its timeout, and arrived when the link was back. That concerns orders and reports of engines, writes to the store and all calls of the other programs: an order with an older fencing token could arrive after one of the next holder. Change: a connection that is closed while output is not acknowledged is reset, which drops that output.

--- a/net/transfer.cpp
+++ b/net/transfer.cpp
@@ -3,6 +3,7 @@
 #include "net/socket.hpp"
 
 #include <algorithm>
+#include <unistd.h>
 
 namespace poplar::net
 {
@@ -80,6 +81,7 @@
     set_option(handle_, CURLOPT_WRITEDATA, this);
     set_option(handle_, CURLOPT_PREREQFUNCTION, &transfer::on_before_send);
     set_option(handle_, CURLOPT_PREREQDATA, this);
+    set_option(handle_, CURLOPT_CLOSESOCKETFUNCTION, &transfer::on_close);
     if (request_.ends_when_silent)
         set_option(handle_, CURLOPT_SOCKOPTFUNCTION, &transfer::on_socket);
     set_method();
@@ -93,6 +95,14 @@
     return CURL_SOCKOPT_OK;
 }
 
+/// The kernel would go on sending a request after its exchange has ended.
+int transfer::on_close(void* /*cls*/, curl_socket_t socket)
+{
+    if (has_unacknowledged_output(socket))
+        discard_output_on_close(socket);
+    return close(socket);
+}
+
 void transfer::set_method()
 {
     const std::string& method = request_.method;
--- a/net/transfer.hpp
+++ b/net/transfer.hpp
@@ -44,6 +44,7 @@
     static std::size_t on_body(char* data, std::size_t size, std::size_t count,
                                void* cls);
     static int on_socket(void* cls, curl_socket_t socket, curlsocktype purpose);
+    static int on_close(void* cls, curl_socket_t socket);
     static int on_before_send(void* cls, char* remote, char* local,
                               int remote_port, int local_port);
 
