once_test: callers keep the address of an entry that is restarted

once_test ended twice with std::out_of_range "map::at" in entry_killed. By reading: the only std::map read with at() there is the address of a child process, which callers on other threads read while start_entry has replaced the process and it has not told its address yet. The throw ended the test process; the pointer was replaced without a lock, too. The cluster now publishes the address once the entry listens, behind a mutex.

--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -185,6 +185,7 @@
         folder_, slot.name + "-" + std::to_string(++starts_), "poplar-entry",
         s);
     slot.process->wait_until_listening();
+    slot.http->set(slot.process->http());
     list_entry(slot, "live");
 }
 
@@ -419,7 +420,7 @@
         {"stream", request.stream}};
     net::client_request r;
     r.method = "POST";
-    r.to = to.process->http();
+    r.to = to.http->get();
     r.path = "/v1/chat/completions";
     r.headers = {{"Content-Type", "application/json"},
                  {"Poplar-Tenant", request.tenant},
@@ -480,7 +481,7 @@
 {
     net::client_request r;
     r.method = method;
-    r.to = to.process->http();
+    r.to = to.http->get();
     r.path = "/services/desk" + path;
     r.headers = {
         {"Poplar-Tenant", "consorzio"},
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -8,6 +8,7 @@
 #include <absl/synchronization/mutex.h>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -45,10 +46,32 @@
     std::unique_ptr<relay> platform_relay;
 };
 
+/// Address that callers on other threads read while its process is restarted.
+class published_address
+{
+public:
+    void set(const ip_address& to)
+    {
+        const std::lock_guard lock(mutex_);
+        address_ = to;
+    }
+    ip_address get() const
+    {
+        const std::lock_guard lock(mutex_);
+        return address_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    ip_address address_;
+};
+
 struct entry_slot
 {
     std::string name;
     std::unique_ptr<child_process> process;
+    std::unique_ptr<published_address> http =
+        std::make_unique<published_address>();
     std::unique_ptr<relay> platform_relay;
 };
 
