--- a/tests/platform/gateway_departure_paths_test.cpp
+++ b/tests/platform/gateway_departure_paths_test.cpp
@@ -1,5 +1,5 @@
-// Guards against requests that reach an upstream after it left, on every path:
-// the request exists already when the gateway learns of the departure.
+// Guards against requests that reach an upstream after it left, on each path by
+// which a request gets there.
 #include "tests/platform/gateway_fixture.hpp"
 
 #include <atomic>
