Client accounts: keys, account of each request, metrics by account

Cause: a configuration that lists client accounts was served as if it had none: requests without a valid key ran, and upstreams got no account and the key itself.

Change: an account table is built from each configuration; a request on a route that is not public needs a known key, else 401. While the store has not confirmed the configuration within the apply time, an unknown key gets 503 instead, since callers do not retry after 401. Every call for a request states the account and never the key. The priority of the account replaces that of the route. Metrics name the 20 accounts with most requests.

Configurations without accounts are served as before.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -119,12 +119,63 @@
     return true;
 }
 
+bool exchange::find_account()
+{
+    if (!routing_->accounts)
+        return true;
+    if (info_.key)
+        account_ = routing_->accounts->find(*info_.key);
+    return account_ || route_->is_public;
+}
+
+/// A caller does not retry after 401, so the key must be certainly unknown.
+asio::awaitable<void> exchange::refuse_unknown_key()
+{
+    if (info_.key && !state_.is_configuration_confirmed())
+        co_return co_await refuse("unconfirmed_key");
+    co_await reject(401, info_.key ? "unknown_key" : "no_key");
+}
+
+unsigned exchange::priority() const
+{
+    return account_ && account_->priority ? *account_->priority
+                                          : route_->priority;
+}
+
+void exchange::count_usage(mono_time began)
+{
+    if (!account_ || is_usage_counted_)
+        return;
+    is_usage_counted_ = true;
+    state_.usage.count(account_->name, began);
+}
+
+void exchange::count_call(attempt_result result, mono_time sent)
+{
+    switch (result)
+    {
+    case attempt_result::answered:
+    case attempt_result::answered_error:
+        // The upstream began at some time between the two.
+        return count_usage(sent + (now() - sent) / 2);
+    case attempt_result::lost:
+    case attempt_result::stalled:
+    case attempt_result::timed_out:
+        return count_usage(sent);
+    case attempt_result::not_sent:
+    case attempt_result::not_run:
+        return;
+    }
+}
+
 asio::awaitable<void> exchange::run()
 {
     if (!routing_)
         co_return co_await refuse("no_configuration");
     if (!find_route())
         co_return co_await reject(404, "no_route");
+    if (!find_account())
+        co_return co_await refuse_unknown_key();
     if (state_.rejects_new_requests)
         co_return co_await refuse("shutting_down");
     const gateway_limits& limits = state_.settings.limits;
@@ -167,7 +218,13 @@
     o.upstream = u.record.id;
     o.remaining_time = remaining_time();
     if (info_.engine_prompt)
-        o.priority = std::min(route_->priority, 9U);
+        o.priority = std::min(priority(), 9U);
+    if (routing_->accounts)
+    {
+        o.replaces_account = true;
+        if (account_)
+            o.account = account_->name;
+    }
     return o;
 }
 
@@ -193,8 +250,7 @@
     scoped_current_call current(call_, call);
     last_upstream_ = u->record.id.value;
     tracked_attempt tracked(
-        options.prefill_only ? u->open_prefills : u->open_calls,
-        policy::load_rank(route_->priority),
+        options.prefill_only ? u->open_prefills : u->open_calls, rank(),
         [&] { give_up_stalled(*u, call, options.prefill_only); });
     buffered_answer a;
     a.status = co_await call.start();
@@ -349,14 +405,16 @@
         const upstream_ptr u = choose_call_upstream();
         if (!u)
             co_return co_await refuse_without_upstream("no_usable_upstream");
+        const mono_time sent = now();
         buffered_answer a;
         {
             load_guard call_guard(u, {.in_flight = 1});
             a = co_await attempt_buffered(u, options_for(*u));
         }
+        const attempt_result result = classify_for_caller(a);
+        count_call(result, sent);
         if (caller_disconnected_)
             break;
-        const attempt_result result = classify_for_caller(a);
         switch (finish_attempt(result, u, a.failure))
         {
         case next_step::deliver:
@@ -440,13 +498,16 @@
 void exchange::log_ended(const std::string& outcome, unsigned status)
 {
     const duration taken = now() - request_.received;
-    const unsigned priority = route_ ? route_->priority : 9;
-    state_.metrics.record_request(service_.value, priority,
-                                  outcome.substr(0, outcome.find(':')), taken);
+    const unsigned priority = route_ ? this->priority() : 9;
+    const std::string kind = outcome.substr(0, outcome.find(':'));
+    state_.metrics.record_request(service_.value, priority, kind, taken);
+    if (account_)
+        state_.metrics.record_account(account_->name, kind, taken);
     observe::log(
         event::gateway_request_ended,
         {{"request", info_.id.value},
          {"service", service_.value},
+         {"account", account_ ? account_->name.value : ""},
          {"priority", priority},
          {"outcome", outcome},
          {"status", status},
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -99,6 +99,20 @@
     };
 
     bool find_route();
+    /// False if the request needs a key and carries none that is known.
+    bool find_account();
+    asio::awaitable<void> refuse_unknown_key();
+    /// Of the account, if it has one, otherwise of the route.
+    unsigned priority() const;
+    std::size_t rank() const
+    {
+        return policy::load_rank(priority());
+    }
+    /// Counts the request, which began to run at `began`, for its account;
+    /// further calls have no effect.
+    void count_usage(mono_time began);
+    /// Counts a call if an upstream ran it or may have run it.
+    void count_call(attempt_result result, mono_time sent);
     /// Time for which the prompt is not to be sent, since it would crash its
     /// engine; empty if it may be sent.
     std::optional<duration> fatal_prompt_hold() const;
@@ -214,6 +228,9 @@
     request_info info_;
     std::shared_ptr<const routing> routing_;
     const route* route_ = nullptr;
+    /// Null if the request carries no known key; owned by `routing_`.
+    const account_table::account* account_ = nullptr;
+    bool is_usage_counted_ = false;
     service_id service_;
     service_fleet* fleet_ = nullptr;
     std::vector<policy::prefix_block> blocks_;
--- a/gateway/exchange_prefill.cpp
+++ b/gateway/exchange_prefill.cpp
@@ -83,8 +83,7 @@
     buffered_answer a = co_await attempt_buffered(u, std::move(options));
     const double elapsed_seconds = policy::seconds(now() - started);
     policy::engine_placement& placement = fleet_->placement;
-    placement.correction().add(policy::load_rank(route_->priority),
-                               choice.wait_seconds,
+    placement.correction().add(rank(), choice.wait_seconds,
                                elapsed_seconds - choice.prefill_seconds);
     if (caller_disconnected_)
         co_return kv_handle{};
@@ -136,7 +135,7 @@
 policy::placed_load exchange::prefill_load(token_count tokens) const
 {
     policy::placed_load load;
-    load.prefill_tokens[policy::load_rank(route_->priority)] = tokens;
+    load.prefill_tokens[rank()] = tokens;
     return load;
 }
 
@@ -191,7 +190,7 @@
         event::gateway_request_placed,
         {{"request", info_.id.value},
          {"service", service_.value},
-         {"priority", route_->priority},
+         {"priority", priority()},
          {"input", info_.engine_prompt->input.value},
          {"uncached", first.uncached.value},
          {"fetched", first.fetched.value},
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -53,7 +53,7 @@
     policy::placed_request r;
     r.input = info_.engine_prompt->input;
     r.output = info_.engine_prompt->max_output;
-    r.rank = policy::load_rank(route_->priority);
+    r.rank = rank();
     r.blocks = blocks_;
     r.now = now();
     return r;
@@ -109,8 +109,7 @@
     const policy::placement_choice& first =
         plan.prefill ? *plan.prefill : plan.decode;
     policy::engine_admission_request r;
-    const double factor = fleet_->placement.correction().factor(
-        policy::load_rank(route_->priority));
+    const double factor = fleet_->placement.correction().factor(rank());
     r.wait = policy::from_seconds(
         std::max(first.hold_seconds, first.wait_seconds * factor));
     r.expected = r.wait + policy::from_seconds(first.prefill_seconds) +
@@ -368,8 +367,7 @@
     last_upstream_ = u->record.id.value;
     tracked_attempt tracked(options.kv.empty() ? u->open_unsplit_requests
                                                : u->open_decodes,
-                            policy::load_rank(route_->priority),
-                            [&] { give_up_stalled(*u, *call, false); });
+                            rank(), [&] { give_up_stalled(*u, *call, false); });
     const auto on_event = [&]
     {
         prefill_guard.end();
@@ -458,12 +456,13 @@
     {
         answer_started_ = true;
         first_event_latency_ = now() - request_.received;
-        state_.metrics.record_first_event(service_.value, route_->priority,
+        state_.metrics.record_first_event(service_.value, priority(),
                                           first_event_latency_);
         co_await out_.begin(platform::forwardable(call.head()));
     }
     if (events.empty())
         co_return;
+    count_usage(now());
     // Without an id no engine can tell where to go on.
     history_.is_repeatable =
         history_.is_repeatable && events_.last_id().has_value();
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -175,6 +175,12 @@
     };
     configuration_watcher_ =
         std::make_unique<store::watcher>(store_, options, hooks);
+    state_.is_configuration_confirmed = [this]
+    {
+        return configuration_watcher_ &&
+               now() - configuration_watcher_->confirmed() <
+                   state_.settings.timeouts.apply;
+    };
     options.prefix = platform::upstream_prefix;
     // Each gateway watches the upstreams itself: news of a draining upstream
     // would arrive too late through a peer, and outages of the store must be
@@ -293,6 +299,9 @@
         if (!is_newer)
             return;
         candidate->table = route_table(candidate->config);
+        if (candidate->config.accounts)
+            candidate->accounts.emplace(
+                *std::exchange(candidate->config.accounts, std::nullopt));
         state_.upstreams.configure(candidate->config);
         state_.current_routing = candidate;
         observe::log(event::gateway_configuration_in_force,
@@ -300,6 +309,8 @@
                       {"era", era_of(o.version).value},
                       {"revision", revision_of(o.version)},
                       {"routes", candidate->config.routes.size()}});
+        if (candidate->accounts)
+            log_accounts(*candidate);
     }
     catch (const parse_error& ec)
     {
@@ -309,6 +320,18 @@
     }
 }
 
+void gateway::log_accounts(const routing& r)
+{
+    observe::log(event::gateway_accounts_in_force,
+                 {{"version", r.config.version.value},
+                  {"accounts", r.accounts->account_count()},
+                  {"keys", r.accounts->key_count()}});
+    if (r.accounts->duplicate_count() > 0)
+        observe::log(event::gateway_duplicate_keys,
+                     {{"version", r.config.version.value},
+                      {"keys", r.accounts->duplicate_count()}});
+}
+
 void gateway::on_upstream(const store::object& o)
 {
     const bool is_removed = o.version == object_version();
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -49,6 +49,7 @@
     void start_watchers();
     void start_loop();
     void on_configuration(const store::object& o);
+    static void log_accounts(const routing& r);
     void on_upstream(const store::object& o);
     /// Asks a new engine which prefix blocks it has cached; after a restart of
     /// this gateway there is no other source for that.
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -14,6 +14,10 @@
 const prometheus::Histogram::BucketBoundaries latency_bounds{
     0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8};
 
+/// Client accounts with a label of their own. An account has a histogram and a
+/// few counters, about 3 KB.
+constexpr std::size_t max_named_accounts = 20;
+
 double seconds_of(duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -38,6 +42,19 @@
                                .Name("poplar_gateway_first_event_seconds")
                                .Help("Time from a request to its first event")
                                .Register(observe::metrics())),
+      account_requests_(
+          prometheus::BuildCounter()
+              .Name("poplar_gateway_account_requests_total")
+              .Help("Requests that ended, by client account and outcome")
+              .Register(observe::metrics())),
+      account_seconds_(
+          prometheus::BuildHistogram()
+              .Name("poplar_gateway_account_request_seconds")
+              .Help("Time from a request to the end of its answer, by client "
+                    "account")
+              .Register(observe::metrics())),
+      labels_(max_named_accounts,
+              [this](const std::string& label) { drop_account(label); }),
       open_requests_(prometheus::BuildGauge()
                          .Name("poplar_gateway_open_requests")
                          .Help("Requests without a final answer")
@@ -78,6 +95,34 @@
     attempts_.Add({{"service", service}, {"result", result}}).Increment();
 }
 
+void gateway_metrics::record_account(const account_name& account,
+                                     const std::string& outcome,
+                                     duration elapsed)
+{
+    const std::string label = labels_.count(account);
+    account_metrics& it = accounts_[label];
+    prometheus::Counter*& counter = it.requests[outcome];
+    if (!counter)
+        counter =
+            &account_requests_.Add({{"account", label}, {"outcome", outcome}});
+    if (!it.seconds)
+        it.seconds =
+            &account_seconds_.Add({{"account", label}}, latency_bounds);
+    counter->Increment();
+    it.seconds->Observe(seconds_of(elapsed));
+}
+
+void gateway_metrics::drop_account(const std::string& label)
+{
+    const auto it = accounts_.find(label);
+    if (it == accounts_.end())
+        return;
+    for (const auto& [outcome, counter] : it->second.requests)
+        account_requests_.Remove(counter);
+    account_seconds_.Remove(it->second.seconds);
+    accounts_.erase(it);
+}
+
 void gateway_metrics::set_open_requests(unsigned n)
 {
     open_requests_.Set(n);
--- a/gateway/metrics.hpp
+++ b/gateway/metrics.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "gateway/account_labels.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -24,13 +25,29 @@
     void record_first_event(const std::string& service, unsigned priority,
                             duration elapsed);
     void record_attempt(const std::string& service, const std::string& result);
+    /// Only accounts with many requests have a label of their own.
+    void record_account(const account_name& account, const std::string& outcome,
+                        duration elapsed);
     void set_open_requests(unsigned n);
 
 private:
+    /// Metrics of one account label.
+    struct account_metrics
+    {
+        std::map<std::string, prometheus::Counter*> requests; ///< By outcome.
+        prometheus::Histogram* seconds = nullptr;
+    };
+
+    void drop_account(const std::string& label);
+
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Histogram>& request_seconds_;
     prometheus::Family<prometheus::Histogram>& first_event_seconds_;
+    prometheus::Family<prometheus::Counter>& account_requests_;
+    prometheus::Family<prometheus::Histogram>& account_seconds_;
+    std::map<std::string, account_metrics> accounts_;
+    account_labels labels_;
     prometheus::Gauge& open_requests_;
 };
 
--- a/gateway/state.hpp
+++ b/gateway/state.hpp
@@ -1,12 +1,15 @@
 /// State that all requests of a gateway share.
 #pragma once
 
+#include "gateway/account_table.hpp"
 #include "gateway/fleet.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/metrics.hpp"
 #include "gateway/route_table.hpp"
 #include "gateway/settings.hpp"
+#include "gateway/usage_meter.hpp"
 
+#include <functional>
 #include <memory>
 #include <random>
 
@@ -19,6 +22,8 @@
 {
     configuration config;
     route_table table;
+    /// Empty: requests need no key.
+    std::optional<account_table> accounts;
 };
 
 /// State shared by sessions and exchanges. Used on the gateway's loop only.
@@ -37,6 +42,13 @@
     fleet upstreams;
     load_exchange loads;
     gateway_metrics metrics;
+    usage_meter usage;
+    /// True if the store has confirmed the configuration recently. Otherwise an
+    /// unknown key may be one that a newer configuration adds.
+    std::function<bool()> is_configuration_confirmed = []
+    {
+        return true;
+    };
     /// Null until a configuration is received.
     std::shared_ptr<const routing> current_routing;
     std::mt19937_64 random{std::random_device()()};
--- a/gateway/types.hpp
+++ b/gateway/types.hpp
@@ -21,6 +21,8 @@
 using upstream_id = text_id<struct upstream_tag>;
 /// Version of the operators' configuration; increases, but may skip numbers.
 using config_version = number_id<struct config_version_tag>;
+/// Name of a client account, which owns keys.
+using account_name = text_id<struct account_tag>;
 /// Digest of a prefix block, valid for one model.
 using block_digest = number_id<struct block_digest_tag>;
 
@@ -57,6 +59,7 @@
     duration pause_target{std::chrono::milliseconds(200)};
     unsigned priority = 5; ///< 0 is the most urgent.
     bool resumable = false;
+    bool is_public = false; ///< Requests need no key.
 };
 
 /// Operator settings of a service.
@@ -69,6 +72,15 @@
     token_count kv_capacity;
 };
 
+/// A client account of the operators' configuration.
+struct client_account
+{
+    account_name name;
+    std::vector<std::string> keys;
+    /// Replaces the priority of the route.
+    std::optional<unsigned> priority;
+};
+
 /// Limits on the size and duration of a caller's requests.
 struct caller_limits
 {
@@ -84,6 +96,8 @@
     config_version version;
     std::vector<route> routes;
     std::vector<service> services;
+    /// Empty: requests need no key.
+    std::optional<std::vector<client_account>> accounts;
     caller_limits limits;
 };
 
@@ -141,6 +155,8 @@
     std::optional<prompt> engine_prompt;    ///< Set for requests to engines.
     /// Id of the last event that a resuming caller has received.
     std::optional<std::uint64_t> resume_after;
+    /// Key of a client account; empty if missing, malformed or repeated.
+    std::optional<std::string> key;
 };
 
 /// Fields decoded from the head of an upstream's answer.
@@ -188,6 +204,9 @@
     ip_address fetch_from;
     /// Id of the event after which a stream resumes.
     std::optional<std::uint64_t> resume_after;
+    /// Drops the caller's key and account and states `account` instead.
+    bool replaces_account = false;
+    std::optional<account_name> account;
 };
 
 } // namespace poplar::gateway
--- a/store/watcher.cpp
+++ b/store/watcher.cpp
@@ -145,6 +145,12 @@
     return state_;
 }
 
+mono_time watcher::confirmed() const
+{
+    absl::MutexLock lock(&mutex_);
+    return std::max(state_.confirmed, confirmed_by_others_);
+}
+
 void watcher::compare(const watched_state& other)
 {
     absl::MutexLock lock(&mutex_);
--- a/store/watcher.hpp
+++ b/store/watcher.hpp
@@ -74,6 +74,9 @@
 
     bool connected() const;
     watched_state state() const;
+    /// When the store last gave the present state to this watcher, or to
+    /// another one that follows the same objects.
+    mono_time confirmed() const;
     /// State of another watcher. An equal one confirms that of this watcher; a
     /// different one that was confirmed later makes it call the store.
     void compare(const watched_state& other);
--- a/tests/platform/objects_test.cpp
+++ b/tests/platform/objects_test.cpp
@@ -45,6 +45,66 @@
     EXPECT_THROW(decode_configuration("{}"), parse_error);
 }
 
+/// The sample with client accounts.
+std::string with_accounts(const std::string& accounts)
+{
+    std::string text = sample_configuration;
+    return text.insert(text.rfind('}'), ", \"tenants\": " + accounts);
+}
+
+TEST(decode_configuration, reads_client_accounts)
+{
+    EXPECT_FALSE(decode_configuration(sample_configuration).accounts);
+    const auto none = decode_configuration(with_accounts("[]")).accounts;
+    ASSERT_TRUE(none);
+    EXPECT_TRUE(none->empty());
+    const auto accounts =
+        decode_configuration(
+            with_accounts(R"([{"name": "a", "apiKeys": ["k1", "k2"]},
+                              {"name": "b", "apiKeys": [], "priority": 3}])"))
+            .accounts;
+    ASSERT_TRUE(accounts);
+    ASSERT_EQ(accounts->size(), 2U);
+    EXPECT_EQ((*accounts)[0].name.value, "a");
+    EXPECT_EQ((*accounts)[0].keys, (std::vector<std::string>{"k1", "k2"}));
+    EXPECT_FALSE((*accounts)[0].priority);
+    EXPECT_EQ((*accounts)[1].priority, 3U);
+}
+
+class malformed_accounts : public testing::TestWithParam<const char*>
+{
+};
+
+// The name becomes a header field of requests to upstreams, and the error text
+// is logged.
+TEST_P(malformed_accounts, are_refused_without_naming_a_key)
+{
+    try
+    {
+        decode_configuration(with_accounts(GetParam()));
+        FAIL() << "accepted";
+    }
+    catch (const parse_error& ec)
+    {
+        EXPECT_EQ(std::string(ec.what()).find("secret"), std::string::npos)
+            << ec.what();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    accounts, malformed_accounts,
+    testing::Values(R"([{"name": "", "apiKeys": ["secret"]}])",
+                    R"([{"name": "a\r\nb: c", "apiKeys": ["secret"]}])",
+                    R"([{"name": "a b", "apiKeys": ["secret"]}])",
+                    R"([{"name": 7, "apiKeys": ["secret"]}])",
+                    R"([{"apiKeys": ["secret"]}])", R"([{"name": "a"}])",
+                    R"([{"name": "a", "apiKeys": "secret"}])",
+                    R"([{"name": "a", "apiKeys": ["secret", ""]}])",
+                    R"([{"name": "a", "apiKeys": ["secret", 7]}])",
+                    R"([{"name": "a", "apiKeys": ["secret"],
+                         "priority": -1}])",
+                    R"(["secret"])", R"("secret")"));
+
 struct entry_case
 {
     const char* name;
