Duties of one gateway at a time: duty lease, usage reports

Change: the order lease becomes the duty lease, one record and one mechanism for all duties; its record carries reports that were fixed and may not have been sent. Each gateway counts requests by account and window, in the time of day that most gateways agree on, and sends the counts to the gateways that may report them. The holder writes a report to the store before it sends it, one write for each window. A process that lost the answer to its own write renews its lease at once. Orders to engines stop at the end of the process and are given by the holder of the duties. Without [platform_api] in the settings nothing of this runs.

--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -107,6 +107,7 @@
         try
         {
             ensure_registered();
+            step_duties();
             adjust_stages();
         }
         catch (const store::store_error& ec)
@@ -116,6 +117,20 @@
         }
         keep_going = wait_for(check_interval);
     }
+    options_.on_stopped();
+}
+
+bool engine_control::is_ending() const
+{
+    absl::MutexLock lock(&mutex_);
+    return is_ending_;
+}
+
+void engine_control::step_duties()
+{
+    duties_stepped_at_ = now();
+    for (const duty_step& it : options_.duties)
+        it(lease_, client_);
 }
 
 void engine_control::ensure_registered()
@@ -203,9 +218,12 @@
         changes_due_since_.erase(service);
         return;
     }
+    if (options_.is_held_elsewhere())
+        return;
     const mono_time since =
         changes_due_since_.try_emplace(service, now()).first->second;
-    if (!lease_.may_order() &&
+    const bool is_known_holder = !options_.duties.empty() && lease_.is_holder();
+    if (!lease_.may_act() && !is_known_holder &&
         now() - since < takeover_delay * std::int64_t(options_.gateway_index()))
         return;
     const auto token = lease_.acquire();
@@ -221,8 +239,15 @@
                   {"fencing", token->value}});
     planned_prefill_[service] = plan.wanted_prefill;
     for (const policy::stage_change& it : plan.changes)
+    {
+        // A call to an engine that does not answer takes seconds.
+        if (is_ending())
+            return;
+        if (now() - duties_stepped_at_ > check_interval)
+            step_duties();
         if (engines[it.engine].accepts_requests)
             send_order(engines[it.engine], stage_of(it.to));
+    }
 }
 
 std::optional<std::uint64_t>
@@ -286,7 +311,7 @@
     request.timeout = call_timeout;
     request.fresh_connection = true;
     request.max_response_bytes = max_engine_answer_bytes;
-    if (!lease_.may_order())
+    if (!lease_.may_act())
         return;
     const mono_time sent = now();
     const net::client_result result = client_.fetch(std::move(request));
--- a/gateway/engine_control.hpp
+++ b/gateway/engine_control.hpp
@@ -1,9 +1,10 @@
 /// Background work of a gateway: keeps its registration for peer gateways in
-/// the store, and orders engines to change stage as demand changes.
+/// the store, orders engines to change stage as demand changes, and carries out
+/// the other duties that one gateway has at a time.
 #pragma once
 
+#include "gateway/duty_lease.hpp"
 #include "gateway/fleet.hpp"
-#include "gateway/order_lease.hpp"
 #include "net/http_client.hpp"
 #include "policy/stage_plan.hpp"
 
@@ -29,6 +30,10 @@
     policy::stage_demand demand; ///< Demand of all gateways' callers.
 };
 
+/// Does what is due of a duty; called on the control's thread at least every
+/// half second. Throws store_error.
+using duty_step = std::function<void(duty_lease&, net::http_client&)>;
+
 struct engine_control_options
 {
     instance_id instance;
@@ -47,6 +52,16 @@
     /// Least time between the orders of two successive lease holders.
     duration order_handover_gap = std::chrono::seconds(3);
     policy::stage_plan_settings stages;
+    std::vector<duty_step> duties;
+    /// Called on the control's thread at its end: another gateway takes over.
+    std::function<void()> on_stopped = [] {
+    };
+    /// True if another live gateway holds the lease, which then gives the
+    /// orders.
+    std::function<bool()> is_held_elsewhere = []
+    {
+        return false;
+    };
 };
 
 /// Key prefix of the gateways' registrations.
@@ -84,6 +99,8 @@
     };
 
     void run();
+    void step_duties();
+    bool is_ending() const;
     /// Waits for `d`; false if the control is stopping.
     bool wait_for(duration d);
     void ensure_registered();
@@ -100,7 +117,7 @@
     const engine_control_options options_;
     const snapshot_source snapshot_;
     net::http_client client_;
-    order_lease lease_;
+    duty_lease lease_;
     /// Version of the registration; 0 if there is none.
     object_version registration_version_;
     /// Number of prefill engines in the last plan that this gateway ordered.
@@ -114,7 +131,9 @@
     std::map<service_id, mono_time> changes_due_since_;
     std::map<upstream_id, pending_order> pending_;
 
-    absl::Mutex mutex_;
+    mono_time duties_stepped_at_{};
+
+    mutable absl::Mutex mutex_;
     bool is_ending_ ABSL_GUARDED_BY(mutex_) = false;
     std::thread thread_;
 };
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -120,7 +120,8 @@
                       { return answer_status(path); }),
       configuration_sharing_(settings.instance.value,
                              digest(platform::configuration_prefix),
-                             configuration_validity(settings))
+                             configuration_validity(settings)),
+      usage_(loop_, state_.usage, state_.loads, settings.instance.value)
 {
     start_watchers();
     start_loop();
@@ -240,6 +241,7 @@
         asio::post(loop_, [this, engine, sent]
                    { state_.upstreams.note_leaving(engine, sent, now()); });
     };
+    add_duties(o);
     control_ = std::make_unique<engine_control>(
         store_, o, [this] { return snapshot_engines(); });
 }
@@ -256,12 +258,22 @@
     };
     hooks.before_send = [this](load_report& report)
     {
+        usage_.stamp(report);
         if (!configuration_watcher_)
             return;
         report.configuration = followed_state_of(*configuration_watcher_);
     };
-    hooks.on_report = [this](const load_report& report)
+    hooks.on_other_message = [this](std::span<const char> bytes)
     {
+        if (!is_usage_message(bytes))
+            return false;
+        usage_.on_datagram(bytes);
+        return true;
+    };
+    hooks.on_report =
+        [this](const load_report& report, const asio::ip::udp::endpoint& from)
+    {
+        usage_.on_load_report(report, from);
         if (!configuration_watcher_)
             return;
         compare_with_peer(*configuration_watcher_, report.configuration);
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/engine_control.hpp"
 #include "gateway/state.hpp"
 #include "gateway/status_server.hpp"
+#include "gateway/usage_duty.hpp"
 #include "gateway/watch_sharing.hpp"
 #include "store/dialect.hpp"
 #include "store/watcher.hpp"
@@ -60,6 +61,9 @@
     std::map<service_id, service_snapshot> snapshot_engines();
     std::size_t gateway_index();
     load_exchange_hooks make_load_exchange_hooks();
+    /// Adds the duties towards the platform that the settings name.
+    void add_duties(engine_control_options& options);
+    usage_duty_options make_usage_duty_options();
     void update_watch_leadership();
     asio::awaitable<void> accept_callers();
     void begin_session(asio::ip::tcp::socket socket);
@@ -99,6 +103,7 @@
     /// written every second, but is logged once.
     std::map<std::string, std::string> refused_upstreams_;
     watch_sharing configuration_sharing_;
+    usage_exchange usage_;
     std::unique_ptr<engine_control> control_;
     std::thread thread_;
 };
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -266,12 +266,18 @@
     for (std::size_t n = std::min(peers_.size(), max_receivers); n > 0; --n)
     {
         next_peer_ = (next_peer_ + 1) % peers_.size();
-        // Errors are ignored: the next report replaces one that was not sent.
-        error_code ignored;
-        socket_.send_to(asio::buffer(bytes), peers_[next_peer_], 0, ignored);
+        send_datagram(bytes, peers_[next_peer_]);
     }
 }
 
+void load_exchange::send_datagram(const std::string& bytes,
+                                  const asio::ip::udp::endpoint& to)
+{
+    // Errors are ignored: the next message replaces one that was not sent.
+    error_code ignored;
+    socket_.send_to(asio::buffer(bytes), to, 0, ignored);
+}
+
 asio::awaitable<void> load_exchange::receive()
 {
     std::vector<char> buf(max_datagram);
@@ -288,7 +294,9 @@
             continue;
         try
         {
-            apply_report(decode_load_report({buf.data(), n}), from);
+            const std::span<const char> bytes(buf.data(), n);
+            if (!hooks_.on_other_message(bytes))
+                apply_report(decode_load_report(bytes), from);
         }
         catch (const parse_error& failure)
         {
@@ -307,7 +315,7 @@
         return;
     if (std::ranges::find(peers_, from) == peers_.end())
         peers_.push_back(from);
-    hooks_.on_report(report);
+    hooks_.on_report(report, from);
     upstreams_.apply_reported_leaving(report.leaving, now());
     if (report.sender != sender_ &&
         gateways_.insert_or_assign(report.sender, now()).second)
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -58,6 +58,8 @@
     std::vector<announced_limit> limits;
     std::vector<policy::block_crash> crashes;
     std::vector<policy::block_completion> completions;
+    /// Time of day at the sender since the Unix epoch; 0 if not stated.
+    duration wall_clock{};
 };
 
 /// Hooks for state that other components share through the load reports.
@@ -69,7 +71,15 @@
     /// May add to a report before it is sent.
     std::function<void(load_report&)> before_send;
     /// Called for each report received that is newer than the sender's last.
-    std::function<void(const load_report&)> on_report;
+    std::function<void(const load_report&, const asio::ip::udp::endpoint& from)>
+        on_report;
+    /// Called for each datagram; returns true for the messages of another
+    /// component, which are not read as load reports. May throw parse_error.
+    std::function<bool(std::span<const char>)> on_other_message =
+        [](std::span<const char>)
+    {
+        return false;
+    };
     /// Called regularly; peers last received from before `before` expired.
     std::function<void(mono_time before)> on_peers_expired;
 };
@@ -132,6 +142,10 @@
     void add_blocks(const upstream& u,
                     std::span<const policy::prefix_block> blocks,
                     duration ready_in);
+    /// Sends a message of another component from the same socket. Errors are
+    /// ignored, as for load reports.
+    void send_datagram(const std::string& bytes,
+                       const asio::ip::udp::endpoint& to);
     ip_address address() const;
     std::size_t peer_count() const
     {
--- a/gateway/load_report.cpp
+++ b/gateway/load_report.cpp
@@ -14,6 +14,8 @@
 namespace fb = wire::fb;
 
 constexpr std::uint16_t report_version = 1;
+/// Year 5138; more microseconds could overflow.
+constexpr std::int64_t max_unix_ms = 100'000'000'000'000;
 /// Rate on the wire that stands for the end of a limit.
 constexpr double no_limit = -1;
 
@@ -176,7 +178,8 @@
         builder.CreateVectorOfStructs(demand),
         builder.CreateVectorOfStructs(limits),
         builder.CreateVectorOfStructs(crashes),
-        builder.CreateVectorOfStructs(completions)));
+        builder.CreateVectorOfStructs(completions),
+        to_milliseconds(report.wall_clock)));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -225,6 +228,8 @@
         for (const fb::block_completion* it : *in->completions())
             report.completions.push_back(
                 {it->block(), now() - std::chrono::milliseconds(it->age_ms())});
+    report.wall_clock = std::chrono::milliseconds(
+        std::clamp<std::int64_t>(in->unix_ms(), 0, max_unix_ms));
     return report;
 }
 
--- a/gateway/settings.cpp
+++ b/gateway/settings.cpp
@@ -9,6 +9,17 @@
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 
+double to_seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+duration from_seconds(double s)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(s));
+}
+
 shared_retry_settings parse_retries(settings::reader table)
 {
     shared_retry_settings r;
@@ -49,6 +60,22 @@
     return t;
 }
 
+platform_api_settings parse_platform_api(settings::reader table)
+{
+    platform_api_settings s;
+    s.address = table.address("address");
+    s.duties = table.text("duties", "");
+    s.calls_per_second =
+        table.number("calls_per_second", s.calls_per_second, 0.001, 1'000'000);
+    // Numbers of seconds instead of times with a unit: platforms state
+    // fractions.
+    s.usage_window = from_seconds(table.number(
+        "usage_window_seconds", to_seconds(s.usage_window), 0.1, 3600));
+    s.usage_late = from_seconds(table.number(
+        "usage_late_seconds", to_seconds(s.usage_late), 0.1, 3600));
+    return s;
+}
+
 } // namespace
 
 gateway_settings parse_gateway_settings(settings::reader& all)
@@ -65,6 +92,8 @@
     s.retries = parse_retries(all.table("retries"));
     s.limits = parse_limits(all.table("limits"));
     s.timeouts = parse_timeouts(all.table("timeouts"));
+    if (all.has("platform_api"))
+        s.platform_api = parse_platform_api(all.table("platform_api"));
     all.finish();
     return s;
 }
--- a/gateway/settings.hpp
+++ b/gateway/settings.hpp
@@ -7,6 +7,9 @@
 #include "base/units.hpp"
 #include "settings/reader.hpp"
 
+#include <optional>
+#include <string>
+
 namespace poplar::gateway
 {
 
@@ -49,6 +52,19 @@
     duration order_lease = std::chrono::seconds(3);
 };
 
+/// The platform's API for the duties of one gateway at a time.
+struct platform_api_settings
+{
+    ip_address address;
+    /// Names of the duties that the platform expects, separated by commas.
+    std::string duties;
+    /// Calls of all gateways together.
+    double calls_per_second = 50;
+    duration usage_window = std::chrono::seconds(5);
+    /// Time after the end of a window at which its report is due.
+    duration usage_late = std::chrono::seconds(10);
+};
+
 /// A watch of the store is given up when its answer is overdue by this fraction
 /// of the drain time.
 inline constexpr double watch_margin_share = 0.2;
@@ -66,6 +82,8 @@
     shared_retry_settings retries;
     gateway_limits limits;
     gateway_timeouts timeouts;
+    /// Empty: the gateways have no duties towards the platform.
+    std::optional<platform_api_settings> platform_api;
 };
 
 /// Reads all settings and calls finish(), which rejects unknown ones; throws
--- a/tests/gateway/order_lease_test.cpp
+++ b/tests/gateway/duty_lease_test.cpp
@@ -1,6 +1,6 @@
 // Guards against two gateways that order engines at once or alternately, and
 // against fencing tokens that do not increase.
-#include "gateway/order_lease.hpp"
+#include "gateway/duty_lease.hpp"
 #include "store/memory_store.hpp"
 
 #include <gtest/gtest.h>
@@ -27,7 +27,7 @@
 struct test_gateway
 {
     mono_time time;
-    order_lease lease;
+    duty_lease lease;
 
     test_gateway(store::object_store& store, const char* name,
                  mono_time start = {})
@@ -37,28 +37,28 @@
     }
 };
 
-TEST(order_lease, is_held_by_one)
+TEST(duty_lease, is_held_by_one)
 {
     store::memory_store store;
     test_gateway a(store, "a");
     test_gateway b(store, "b");
     EXPECT_TRUE(a.lease.acquire());
     EXPECT_FALSE(b.lease.acquire());
-    EXPECT_FALSE(b.lease.may_order());
+    EXPECT_FALSE(b.lease.may_act());
 }
 
-TEST(order_lease, may_not_be_used_long_after_its_renewal)
+TEST(duty_lease, may_not_be_used_long_after_its_renewal)
 {
     store::memory_store store;
     test_gateway a(store, "a");
     ASSERT_TRUE(a.lease.acquire());
     a.time += milliseconds(999);
-    EXPECT_TRUE(a.lease.may_order());
+    EXPECT_TRUE(a.lease.may_act());
     a.time += milliseconds(2);
-    EXPECT_FALSE(a.lease.may_order());
+    EXPECT_FALSE(a.lease.may_act());
 }
 
-TEST(order_lease, passes_on_when_its_holder_is_gone)
+TEST(duty_lease, passes_on_when_its_holder_is_gone)
 {
     store::memory_store store;
     test_gateway a(store, "a");
@@ -74,7 +74,7 @@
     EXPECT_FALSE(a.lease.acquire().has_value() && a.time > mono_time{});
 }
 
-TEST(order_lease, is_not_taken_by_a_restarted_process_of_its_holder_at_once)
+TEST(duty_lease, is_not_taken_by_a_restarted_process_of_its_holder_at_once)
 {
     store::memory_store store;
     test_gateway before(store, "a");
@@ -85,7 +85,7 @@
 
 // The first record of the new process was equal to the one before, so that the
 // others did not see that the lease had been taken.
-TEST(order_lease, of_a_restarted_holder_is_seen_by_the_others)
+TEST(duty_lease, of_a_restarted_holder_is_seen_by_the_others)
 {
     store::memory_store store;
     test_gateway before(store, "a");
@@ -113,19 +113,19 @@
     }
 };
 
-TEST(order_lease, is_not_acquired_by_a_write_that_changes_nothing)
+TEST(duty_lease, is_not_acquired_by_a_write_that_changes_nothing)
 {
     unchanged_store store;
-    const object_key key = order_lease_settings().key;
+    const object_key key = duty_lease_settings().key;
     store.memory_store::put(key, "{}", object_version());
     test_gateway a(store, "a");
     ASSERT_FALSE(a.lease.acquire());
     a.time += seconds(5);
     EXPECT_FALSE(a.lease.acquire());
-    EXPECT_FALSE(a.lease.may_order());
+    EXPECT_FALSE(a.lease.may_act());
 }
 
-TEST(order_lease, is_not_taken_at_once_when_a_restored_store_lacks_it)
+TEST(duty_lease, is_not_taken_at_once_when_a_restored_store_lacks_it)
 {
     store::memory_store store;
     test_gateway a(store, "a");
@@ -143,18 +143,18 @@
     EXPECT_GT(*second, *first);
 }
 
-TEST(order_lease, ends_when_the_store_was_restored)
+TEST(duty_lease, ends_when_the_store_was_restored)
 {
     store::memory_store store;
     test_gateway a(store, "a");
     const auto copy = store.make_copy();
     ASSERT_TRUE(a.lease.acquire());
     store.restore(copy);
-    EXPECT_FALSE(a.lease.may_order());
+    EXPECT_FALSE(a.lease.may_act());
     EXPECT_FALSE(a.lease.acquire());
 }
 
-TEST(order_lease, is_not_taken_at_once_by_a_process_that_starts_later)
+TEST(duty_lease, is_not_taken_at_once_by_a_process_that_starts_later)
 {
     first_era_store store;
     test_gateway a(store, "a");
@@ -169,7 +169,7 @@
     EXPECT_TRUE(b.lease.acquire());
 }
 
-TEST(order_lease, is_taken_at_once_in_a_new_store)
+TEST(duty_lease, is_taken_at_once_in_a_new_store)
 {
     first_era_store store;
     test_gateway a(store, "a");
@@ -180,7 +180,7 @@
 /// not act for a while does not see that time pass until its next turn. Now and
 /// then the store is restored from an earlier copy, or a gateway's process is
 /// replaced by a new one.
-RC_GTEST_PROP(order_lease_history, keeps_holders_apart,
+RC_GTEST_PROP(duty_lease_history, keeps_holders_apart,
               (const std::vector<std::uint16_t>& draws))
 {
     first_era_store store;
@@ -207,7 +207,7 @@
         test_gateway& g = *gateways.at(std::size_t(i));
         g.time = time;
         const auto token = g.lease.acquire();
-        if (!token || !g.lease.may_order())
+        if (!token || !g.lease.may_act())
             continue;
         RC_ASSERT(*token >= last_token);
         if (last_holder >= 0 && last_holder != i)
