--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -120,7 +120,8 @@
                       { return answer_status(path); }),
       configuration_sharing_(settings.instance.value,
                              digest(platform::configuration_prefix),
-                             configuration_validity(settings))
+                             configuration_validity(settings)),
+      usage_(loop_, state_.usage, state_.loads, settings.instance.value)
 {
     start_watchers();
     start_loop();
@@ -175,6 +176,12 @@
     };
     configuration_watcher_ =
         std::make_unique<store::watcher>(store_, options, hooks);
+    state_.is_configuration_confirmed = [this]
+    {
+        return configuration_watcher_ &&
+               now() - configuration_watcher_->confirmed() <
+                   state_.settings.timeouts.apply;
+    };
     options.prefix = platform::upstream_prefix;
     // Each gateway watches the upstreams itself: news of a draining upstream
     // would arrive too late through a peer, and outages of the store must be
@@ -234,6 +241,7 @@
         asio::post(loop_, [this, engine, sent]
                    { state_.upstreams.note_leaving(engine, sent, now()); });
     };
+    add_duties(o);
     control_ = std::make_unique<engine_control>(
         store_, o, [this] { return snapshot_engines(); });
 }
@@ -250,12 +258,22 @@
     };
     hooks.before_send = [this](load_report& report)
     {
+        usage_.stamp(report);
         if (!configuration_watcher_)
             return;
         report.configuration = followed_state_of(*configuration_watcher_);
     };
-    hooks.on_report = [this](const load_report& report)
+    hooks.on_other_message = [this](std::span<const char> bytes)
+    {
+        if (!is_usage_message(bytes))
+            return false;
+        usage_.on_datagram(bytes);
+        return true;
+    };
+    hooks.on_report =
+        [this](const load_report& report, const asio::ip::udp::endpoint& from)
     {
+        usage_.on_load_report(report, from);
         if (!configuration_watcher_)
             return;
         compare_with_peer(*configuration_watcher_, report.configuration);
@@ -293,6 +311,9 @@
         if (!is_newer)
             return;
         candidate->table = route_table(candidate->config);
+        if (candidate->config.accounts)
+            candidate->accounts.emplace(
+                *std::exchange(candidate->config.accounts, std::nullopt));
         state_.upstreams.configure(candidate->config);
         state_.current_routing = candidate;
         observe::log(event::gateway_configuration_in_force,
@@ -300,6 +321,8 @@
                       {"era", era_of(o.version).value},
                       {"revision", revision_of(o.version)},
                       {"routes", candidate->config.routes.size()}});
+        if (candidate->accounts)
+            log_accounts(*candidate);
     }
     catch (const parse_error& ec)
     {
@@ -309,6 +332,18 @@
     }
 }
 
+void gateway::log_accounts(const routing& r)
+{
+    observe::log(event::gateway_accounts_in_force,
+                 {{"version", r.config.version.value},
+                  {"accounts", r.accounts->account_count()},
+                  {"keys", r.accounts->key_count()}});
+    if (r.accounts->duplicate_count() > 0)
+        observe::log(event::gateway_duplicate_keys,
+                     {{"version", r.config.version.value},
+                      {"keys", r.accounts->duplicate_count()}});
+}
+
 void gateway::on_upstream(const store::object& o)
 {
     const bool is_removed = o.version == object_version();
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/engine_control.hpp"
 #include "gateway/state.hpp"
 #include "gateway/status_server.hpp"
+#include "gateway/usage_duty.hpp"
 #include "gateway/watch_sharing.hpp"
 #include "store/dialect.hpp"
 #include "store/watcher.hpp"
@@ -49,6 +50,7 @@
     void start_watchers();
     void start_loop();
     void on_configuration(const store::object& o);
+    static void log_accounts(const routing& r);
     void on_upstream(const store::object& o);
     /// Asks a new engine which prefix blocks it has cached; after a restart of
     /// this gateway there is no other source for that.
@@ -59,6 +61,9 @@
     std::map<service_id, service_snapshot> snapshot_engines();
     std::size_t gateway_index();
     load_exchange_hooks make_load_exchange_hooks();
+    /// Adds the duties towards the platform that the settings name.
+    void add_duties(engine_control_options& options);
+    usage_duty_options make_usage_duty_options();
     void update_watch_leadership();
     asio::awaitable<void> accept_callers();
     void begin_session(asio::ip::tcp::socket socket);
@@ -98,6 +103,7 @@
     /// written every second, but is logged once.
     std::map<std::string, std::string> refused_upstreams_;
     watch_sharing configuration_sharing_;
+    usage_exchange usage_;
     std::unique_ptr<engine_control> control_;
     std::thread thread_;
 };
