Priorities of client accounts come before those of routes

Cause: most accounts of a deployment have one priority. It replaced that of the route, so that all kinds of requests had the same rank, and urgent ones waited behind others. Change: requests are ordered by account and then by route (policy/priority_ranks); the four ranks of placement and the ten of engines go to the priorities that most accounts have. What is derived from a configuration moves to gateway/routing.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -124,7 +124,7 @@
     if (!routing_->accounts)
         return true;
     if (info_.key)
-        account_ = routing_->accounts->find(*info_.key);
+        account_ = routing_->accounts->table.find(*info_.key);
     return account_ || route_->is_public;
 }
 
@@ -138,8 +138,19 @@
 
 unsigned exchange::priority() const
 {
-    return account_ && account_->priority ? *account_->priority
-                                          : route_->priority;
+    if (!routing_->accounts)
+        return std::min(route_->priority, engine_priority_count - 1);
+    const auto of_account = account_ ? account_->priority : std::nullopt;
+    return unsigned(
+        routing_->accounts->engine_ranks.rank(of_account, route_->priority));
+}
+
+std::size_t exchange::rank() const
+{
+    if (!routing_->accounts)
+        return policy::load_rank(route_->priority);
+    const auto of_account = account_ ? account_->priority : std::nullopt;
+    return routing_->accounts->load_ranks.rank(of_account, route_->priority);
 }
 
 void exchange::count_usage(mono_time began)
@@ -218,7 +229,7 @@
     o.upstream = u.record.id;
     o.remaining_time = remaining_time();
     if (info_.engine_prompt)
-        o.priority = std::min(priority(), 9U);
+        o.priority = priority();
     if (routing_->accounts)
     {
         o.replaces_account = true;
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -102,12 +102,10 @@
     /// False if the request needs a key and carries none that is known.
     bool find_account();
     asio::awaitable<void> refuse_unknown_key();
-    /// Of the account, if it has one, otherwise of the route.
+    /// For the queues of engines: of the account, then of the route.
     unsigned priority() const;
-    std::size_t rank() const
-    {
-        return policy::load_rank(priority());
-    }
+    /// The same for placement, which distinguishes fewer.
+    std::size_t rank() const;
     /// Counts the request, which began to run at `began`, for its account;
     /// further calls have no effect.
     void count_usage(mono_time began);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -303,17 +303,13 @@
         return;
     try
     {
-        auto candidate = std::make_shared<routing>();
-        candidate->config = platform::decode_configuration(o.value);
+        const auto candidate = std::make_shared<const routing>(
+            make_routing(platform::decode_configuration(o.value)));
         const bool is_newer =
             !state_.current_routing ||
             candidate->config.version > state_.current_routing->config.version;
         if (!is_newer)
             return;
-        candidate->table = route_table(candidate->config);
-        if (candidate->config.accounts)
-            candidate->accounts.emplace(
-                *std::exchange(candidate->config.accounts, std::nullopt));
         state_.upstreams.configure(candidate->config);
         state_.current_routing = candidate;
         observe::log(event::gateway_configuration_in_force,
@@ -336,12 +332,12 @@
 {
     observe::log(event::gateway_accounts_in_force,
                  {{"version", r.config.version.value},
-                  {"accounts", r.accounts->account_count()},
-                  {"keys", r.accounts->key_count()}});
-    if (r.accounts->duplicate_count() > 0)
+                  {"accounts", r.accounts->table.account_count()},
+                  {"keys", r.accounts->table.key_count()}});
+    if (r.accounts->table.duplicate_count() > 0)
         observe::log(event::gateway_duplicate_keys,
                      {{"version", r.config.version.value},
-                      {"keys", r.accounts->duplicate_count()}});
+                      {"keys", r.accounts->table.duplicate_count()}});
 }
 
 void gateway::on_upstream(const store::object& o)
--- a/gateway/state.hpp
+++ b/gateway/state.hpp
@@ -1,11 +1,10 @@
 /// State that all requests of a gateway share.
 #pragma once
 
-#include "gateway/account_table.hpp"
 #include "gateway/fleet.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/metrics.hpp"
-#include "gateway/route_table.hpp"
+#include "gateway/routing.hpp"
 #include "gateway/settings.hpp"
 #include "gateway/usage_meter.hpp"
 
@@ -16,16 +15,6 @@
 namespace poplar::gateway
 {
 
-/// A configuration with its route table. A request uses the one that was in
-/// force when it began until it ends.
-struct routing
-{
-    configuration config;
-    route_table table;
-    /// Empty: requests need no key.
-    std::optional<account_table> accounts;
-};
-
 /// State shared by sessions and exchanges. Used on the gateway's loop only.
 struct gateway_state
 {
--- a/gateway/types.hpp
+++ b/gateway/types.hpp
@@ -26,6 +26,8 @@
 /// Digest of a prefix block, valid for one model.
 using block_digest = number_id<struct block_digest_tag>;
 
+/// Priorities that the queues of engines distinguish.
+inline constexpr unsigned engine_priority_count = 10;
 /// Status with which a process answers requests that are meant for another one.
 inline constexpr unsigned status_misdirected = 421;
 
