Number of upstreams: policy module, bounds of a service in the configuration

Cause: a service of the configuration may state how many upstreams it may have in each failure domain; nothing read these bounds or computed a number from the load.

--- a/gateway/types.hpp
+++ b/gateway/types.hpp
@@ -6,6 +6,7 @@
 #include "base/ids.hpp"
 #include "base/time.hpp"
 #include "base/units.hpp"
+#include "policy/scaling.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -62,6 +63,9 @@
     bool is_public = false; ///< Requests need no key.
 };
 
+/// Limits on the number of upstreams of a service in each failure domain.
+using scaling_bounds = policy::scaling_bounds;
+
 /// Operator settings of a service.
 struct service
 {
@@ -70,6 +74,8 @@
     std::uint32_t max_connections = 64;
     /// KV cache capacity of an engine; zero for services without engines.
     token_count kv_capacity;
+    /// Empty: the number of upstreams is not adjusted.
+    std::optional<scaling_bounds> scaling;
 };
 
 /// A client account of the operators' configuration.
--- a/tests/platform/objects_test.cpp
+++ b/tests/platform/objects_test.cpp
@@ -105,6 +105,57 @@
                          "priority": -1}])",
                     R"(["secret"])", R"("secret")"));
 
+/// The sample with bounds on the number of upstreams of its service.
+std::string with_scaling(const std::string& scaling)
+{
+    std::string text = sample_configuration;
+    const std::string after = "\"maxConns\": 360,";
+    return text.insert(text.find(after) + after.size(),
+                       " \"scaling\": " + scaling + ",");
+}
+
+gateway::scaling_bounds decode_scaling(const std::string& scaling)
+{
+    return decode_configuration(with_scaling(scaling))
+        .services.at(0)
+        .scaling.value();
+}
+
+TEST(decode_configuration, reads_bounds_of_the_number_of_upstreams)
+{
+    EXPECT_FALSE(
+        decode_configuration(sample_configuration).services[0].scaling);
+    EXPECT_EQ(decode_scaling(R"({"min": 2, "max": 9, "bootS": 11})"),
+              (gateway::scaling_bounds{2, 9, milliseconds(11000)}));
+    EXPECT_EQ(decode_scaling(R"({"min": 0, "max": 0, "bootS": 2.5})"),
+              (gateway::scaling_bounds{0, 0, milliseconds(2500)}));
+    EXPECT_EQ(decode_scaling(R"({"min": 3.0, "max": 3, "bootS": 0})"),
+              (gateway::scaling_bounds{3, 3, {}}));
+}
+
+class malformed_scaling : public testing::TestWithParam<const char*>
+{
+};
+
+// A wrong bound would order upstreams without end or none at all.
+TEST_P(malformed_scaling, is_refused)
+{
+    EXPECT_THROW(decode_configuration(with_scaling(GetParam())), parse_error);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    bounds, malformed_scaling,
+    testing::Values("7", "null", "[]", "{}", R"({"min": 1, "max": 2})",
+                    R"({"min": 1, "bootS": 2})", R"({"max": 1, "bootS": 2})",
+                    R"({"min": 3, "max": 2, "bootS": 2})",
+                    R"({"min": -1, "max": 2, "bootS": 2})",
+                    R"({"min": 1.5, "max": 2, "bootS": 2})",
+                    R"({"min": 1, "max": 5000000000, "bootS": 2})",
+                    R"({"min": 1, "max": "2", "bootS": 2})",
+                    R"({"min": 1, "max": 2, "bootS": "2"})",
+                    R"({"min": 1, "max": 2, "bootS": -1})",
+                    R"({"min": 1, "max": 2, "bootS": 1e300})"));
+
 struct entry_case
 {
     const char* name;
