Orders of the number of upstreams, by the holder of the duty lease

Cause: the platform expects the gateways to order the number of upstreams of a service with bounds in each failure domain; nobody did.

Change: gateway/scaling_duty follows the load on every gateway and sends one order per service and failure domain from the holder of the duty lease, again with growing delay until it is answered with 200, with at most a fifth of the allowed calls. A process without a confirmed order takes the registered number for the ordered one. Where the usage duty runs, that duty acquires the lease; else the first gateway does when an order is due. A gateway with this duty registers its failure domain, so that the demand that it reports counts there.

--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -52,18 +52,27 @@
 
 } // namespace
 
-std::string encode_registration(const ip_address& peer)
+std::string encode_registration(const gateway_registration& registration)
 {
-    return nlohmann::json{{"peer", to_string(peer)}}.dump();
+    nlohmann::json j{{"peer", to_string(registration.peer)}};
+    if (!registration.failure_domain.value.empty())
+        j["failure_domain"] = registration.failure_domain.value;
+    return j.dump();
 }
 
-ip_address decode_registration(const std::string& value)
+gateway_registration decode_registration(const std::string& value)
 {
-    const ip_address peer = parse_ip_address(guard_json(
-        [&] { return parse_json(value).at("peer").get<std::string>(); }));
-    if (peer.port == 0)
+    gateway_registration r = guard_json(
+        [&]
+        {
+            const nlohmann::json j = parse_json(value);
+            return gateway_registration{
+                parse_ip_address(j.at("peer").get<std::string>()),
+                failure_domain_id(j.value("failure_domain", std::string()))};
+        });
+    if (r.peer.port == 0)
         throw parse_error("peer: the port is 0");
-    return peer;
+    return r;
 }
 
 engine_control::engine_control(store::object_store& store,
@@ -140,7 +149,8 @@
         era_of(registration_version_) == store_.era())
         return;
     const object_key key(gateway_prefix + options_.instance.value);
-    const std::string value = encode_registration(options_.peer);
+    const std::string value =
+        encode_registration({options_.peer, options_.failure_domain});
     store::put_result result = store_.put(key, value, object_version());
     if (result.status == store::put_status::conflict)
         result = store_.put(key, value, result.version);
--- a/gateway/engine_control.hpp
+++ b/gateway/engine_control.hpp
@@ -38,6 +38,8 @@
 {
     instance_id instance;
     ip_address peer; ///< Address at which peers send load reports.
+    /// Registered with the address; empty if no peer needs it.
+    failure_domain_id failure_domain;
     /// Index of this gateway among the registered ones, from 0. The first live
     /// one gives the orders; each later one waits longer before it takes over.
     std::function<std::size_t()> gateway_index = []
@@ -67,10 +69,17 @@
 /// Key prefix of the gateways' registrations.
 inline constexpr const char* gateway_prefix = "gateways/";
 
-/// Encodes and decodes the value of a registration, which holds the address for
-/// load reports. Decoding throws parse_error.
-std::string encode_registration(const ip_address& peer);
-ip_address decode_registration(const std::string& value);
+/// Registration of a gateway for its peers.
+struct gateway_registration
+{
+    ip_address peer;                  ///< Address for load reports.
+    failure_domain_id failure_domain; ///< Empty if not stated.
+};
+
+/// Encodes and decodes the value of a registration. Decoding throws
+/// parse_error.
+std::string encode_registration(const gateway_registration& registration);
+gateway_registration decode_registration(const std::string& value);
 
 /// Runs the background work on a thread of its own.
 class engine_control
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -433,52 +433,13 @@
                      {{"object", o.key.value}, {"reason", ec.what()}});
     }
     std::vector<ip_address> peers;
-    std::ranges::copy(registered_gateways_ | std::views::values,
-                      std::back_inserter(peers));
+    std::ranges::transform(registered_gateways_ | std::views::values,
+                           std::back_inserter(peers),
+                           &gateway_registration::peer);
     state_.loads.set_peers(peers);
     update_retry_budgets();
 }
 
-/// Index of this gateway in the sorted list of registered gateways.
-std::size_t gateway::gateway_index()
-{
-    return asio::post(loop_,
-                      asio::use_future(
-                          [this]
-                          {
-                              const object_key own(
-                                  gateway_prefix +
-                                  state_.settings.instance.value);
-                              return std::size_t(std::distance(
-                                  registered_gateways_.begin(),
-                                  registered_gateways_.lower_bound(own)));
-                          }))
-        .get();
-}
-
-/// Engines that can receive orders, by service, with the demand of each
-/// service.
-std::map<service_id, service_snapshot> gateway::snapshot_engines()
-{
-    const auto take_snapshot = [this]
-    {
-        std::map<service_id, service_snapshot> services;
-        for (const auto& [id, u] : state_.upstreams.all())
-            if (u->record.stage != engine_stage::none &&
-                u->record.state == upstream_state::ready &&
-                !u->health.is_leaving())
-                services[u->record.service].engines.push_back(
-                    {u->record,
-                     u->placed.own_load.in_flight +
-                         u->placed.peer_load.in_flight,
-                     u->health.accepts_requests(now())});
-        for (auto& [name, it] : services)
-            it.demand = state_.loads.demand(name);
-        return services;
-    };
-    return asio::post(loop_, asio::use_future(take_snapshot)).get();
-}
-
 asio::awaitable<void> gateway::sweep_periodically()
 {
     asio::steady_timer timer(loop_);
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/caller_session.hpp"
 #include "gateway/engine_control.hpp"
+#include "gateway/scaling_duty.hpp"
 #include "gateway/state.hpp"
 #include "gateway/status_server.hpp"
 #include "gateway/usage_duty.hpp"
@@ -63,7 +64,12 @@
     load_exchange_hooks make_load_exchange_hooks();
     /// Adds the duties towards the platform that the settings name.
     void add_duties(engine_control_options& options);
+    void add_usage_duty(engine_control_options& options);
+    void add_scaling_duty(engine_control_options& options, bool acquires_lease);
     usage_duty_options make_usage_duty_options();
+    scaling_duty_options make_scaling_duty_options(bool acquires_lease);
+    scaling_view view_scaling() const;
+    scaled_service view_scaled(const service& s) const;
     void update_watch_leadership();
     asio::awaitable<void> accept_callers();
     void begin_session(asio::ip::tcp::socket socket);
@@ -97,8 +103,8 @@
     std::unique_ptr<store::watcher> configuration_watcher_;
     std::unique_ptr<store::watcher> upstream_watcher_;
     std::unique_ptr<store::watcher> gateway_watcher_;
-    /// Load report addresses of all registered gateways, this one included.
-    std::map<object_key, ip_address> registered_gateways_;
+    /// All registered gateways, this one included.
+    std::map<object_key, gateway_registration> registered_gateways_;
     /// Reason for which an upstream's entry was last refused. The entry may be
     /// written every second, but is logged once.
     std::map<std::string, std::string> refused_upstreams_;
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -131,6 +131,17 @@
     return sum;
 }
 
+std::vector<std::pair<std::string, policy::stage_demand>>
+peer_loads::demand_by_sender(std::uint64_t service) const
+{
+    std::vector<std::pair<std::string, policy::stage_demand>> demands;
+    for (const auto& [sender, p] : peers_)
+        for (const auto& [of, it] : p.demand)
+            if (of == service)
+                demands.emplace_back(sender, it);
+    return demands;
+}
+
 load_exchange::load_exchange(asio::io_context& loop, fleet& upstreams,
                              std::string sender, const ip_address& listen)
     : upstreams_(upstreams), sender_(std::move(sender)),
@@ -169,6 +180,16 @@
     return sum;
 }
 
+std::vector<std::pair<std::string, policy::stage_demand>>
+load_exchange::demand_by_gateway(const service_id& service) const
+{
+    auto demands = loads_.demand_by_sender(digest(service.value));
+    const auto it = upstreams_.services().find(service);
+    if (it != upstreams_.services().end())
+        demands.emplace_back(sender_, it->second.demand.value(now()));
+    return demands;
+}
+
 void load_exchange::set_peers(const std::vector<ip_address>& peers)
 {
     peers_.clear();
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -103,6 +103,9 @@
     policy::placed_load sum(std::uint64_t upstream) const;
     /// Demand of all peers for a service, by digest of its name.
     policy::stage_demand demand(std::uint64_t service) const;
+    /// The same by sender.
+    std::vector<std::pair<std::string, policy::stage_demand>>
+    demand_by_sender(std::uint64_t service) const;
     std::size_t size() const
     {
         return peers_.size();
@@ -153,6 +156,9 @@
     }
     /// Demand of the callers of all gateways for a service.
     policy::stage_demand demand(const service_id& service) const;
+    /// The same by instance name of the gateway.
+    std::vector<std::pair<std::string, policy::stage_demand>>
+    demand_by_gateway(const service_id& service) const;
 
 private:
     asio::awaitable<void> send_regularly();
