Gateway: limits on what callers send and do not read, and their sum

Cause: Beast parses heads, chunk-size lines and trailers as a whole, and the buffers of the front, ready and admin port had no limit. Bodies counted towards max_body_bytes only once they were complete. glibc raises its threshold for mapped memory when a large buffer is freed, and later ones stay in the heap.

Change: - request_reader reads into a buffer with a limit (limits.max_unparsed_bytes) and reports what is held after each read. - caller_memory sums up bodies, unparsed bytes and unread answers of all connections. While max_body_bytes or a third of limits.memory is exceeded, the largest request that is not forwarded is refused with 503 and Retry-After; forwarded ones are only closed for the budget and if nothing else is left. - The ready and admin ports limit their buffers, and their connections (limits.max_status_callers): the oldest is closed. - Event 919 is logged at most once a second. - Fixed allocator thresholds, and malloc_trim at most once in 5 s when the resident memory has grown.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -40,6 +40,9 @@
 constexpr duration close_check_interval = std::chrono::milliseconds(10);
 /// Maximum size of the rest of a refused request that is read and dropped.
 constexpr std::size_t max_discarded_bytes = 16 << 20;
+/// Callers that are refused because of a memory limit are asked to wait so
+/// long; a body is received within a few seconds.
+constexpr duration memory_retry_delay = std::chrono::seconds(1);
 
 asio::redirect_error_t<asio::use_awaitable_t<>> redirect_to(error_code& ec)
 {
@@ -72,16 +75,50 @@
 
 caller_session::caller_session(gateway_state& state,
                                asio::ip::tcp::socket socket)
-    : state_(state), stream_(std::move(socket))
+    : state_(state), stream_(std::move(socket)),
+      reader_(stream_, [this] { update_memory(); }),
+      memory_(state.memory.add([this] { end_for_memory(); }))
 {
 }
 
+caller_session::~caller_session()
+{
+    state_.memory.remove(memory_);
+}
+
 caller_limits caller_session::limits() const
 {
     return state_.current_routing ? state_.current_routing->config.limits
                                   : caller_limits{};
 }
 
+void caller_session::update_memory()
+{
+    if (is_over_memory_)
+        return;
+    caller_bytes held;
+    held.body = exchange_ ? forwarded_body_ : reader_.body_bytes();
+    held.unparsed = reader_.unparsed_bytes();
+    held.unread = unread_;
+    held.is_forwarded = exchange_ != nullptr;
+    state_.memory.set(memory_, held, state_.settings.limits);
+}
+
+void caller_session::set_unread(std::size_t bytes)
+{
+    unread_ = bytes;
+    update_memory();
+}
+
+void caller_session::end_for_memory()
+{
+    is_over_memory_ = true;
+    if (exchange_)
+        return close();
+    reader_.drop();
+    stream_.cancel();
+}
+
 void caller_session::close()
 {
     is_failed_ = true;
@@ -120,7 +157,7 @@
             break;
         co_await serve_request();
         ++served_requests_;
-        is_busy_ = buffer_.size() > 0;
+        is_busy_ = reader_.unparsed_bytes() > 0;
     }
     error_code ec;
     ec = stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
@@ -164,7 +201,7 @@
 /// the connection ended or timed out.
 asio::awaitable<bool> caller_session::wait_for_request()
 {
-    if (buffer_.size() == 0)
+    if (reader_.unparsed_bytes() == 0)
     {
         const mono_time idle_since = now();
         interval_timer timer(state_.loop, [this, idle_since]
@@ -203,20 +240,26 @@
 asio::awaitable<bool> caller_session::read_request()
 {
     const caller_limits l = limits();
-    parser_.emplace();
-    parser_->header_limit(l.header_bytes);
-    parser_->body_limit(l.body_bytes);
+    reader_.begin(l.header_bytes, l.body_bytes,
+                  std::size_t(state_.settings.limits.max_unparsed_bytes.value));
     stream_.expires_after(l.header_timeout);
-    error_code ec;
-    co_await http::async_read_header(stream_, buffer_, *parser_,
-                                     redirect_to(ec));
-    if (!ec && !has_unambiguous_length(*parser_))
+    error_code ec = co_await reader_.read_head();
+    if (!ec && !has_unambiguous_length(reader_.parser()))
         ec = http::error::bad_transfer_encoding;
-    if (!ec && parser_->get().count(http::field::host) != 1)
+    if (!ec && reader_.parser().get().count(http::field::host) != 1)
         ec = http::error::bad_field;
-    if (!ec)
+    if (!ec && !is_over_memory_)
         co_return co_await read_body();
-    if (ec == http::error::header_limit)
+    co_await refuse_unread(ec);
+    co_return false;
+}
+
+asio::awaitable<void> caller_session::refuse_unread(error_code ec)
+{
+    if (is_over_memory_)
+        co_await refuse_request(503);
+    else if (ec == http::error::header_limit ||
+             ec == http::error::buffer_overflow)
         co_await refuse_request(431);
     else if (ec == http::error::body_limit)
         co_await refuse_request(413);
@@ -225,12 +268,11 @@
         co_await refuse_request(400);
     else
         log_unread_request(ec);
-    co_return false;
 }
 
 void caller_session::log_unread_request(const error_code& ec) const
 {
-    if (!parser_->got_some())
+    if (!reader_.parser().got_some())
         return;
     observe::log(event::gateway_caller_refused, {{"status", 0},
                                                  {"served", served_requests_},
@@ -240,7 +282,8 @@
 asio::awaitable<bool> caller_session::read_body()
 {
     const caller_limits l = limits();
-    const std::size_t expected = parser_->content_length().value_or(0);
+    const auto& parser = reader_.parser();
+    const std::size_t expected = parser.content_length().value_or(0);
     const auto capacity =
         std::size_t(state_.settings.limits.max_body_bytes.value);
     if (state_.body_bytes + expected > capacity)
@@ -248,7 +291,7 @@
         co_await refuse_request(503);
         co_return false;
     }
-    if (beast::iequals(parser_->get()[http::field::expect], "100-continue"))
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
     {
         constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
         error_code ec;
@@ -256,16 +299,11 @@
             stream_, asio::buffer(text.data(), text.size()), redirect_to(ec));
     }
     stream_.expires_after(l.header_timeout);
-    error_code ec;
-    co_await http::async_read(stream_, buffer_, *parser_, redirect_to(ec));
-    if (ec == http::error::body_limit)
-        co_await refuse_request(413);
-    else if (ec.category() ==
-             make_error_code(http::error::bad_field).category())
-        co_await refuse_request(400);
-    else if (ec)
-        log_unread_request(ec);
-    co_return !ec;
+    const error_code ec = co_await reader_.read_body();
+    if (!ec && !is_over_memory_)
+        co_return true;
+    co_await refuse_unread(ec);
+    co_return false;
 }
 
 asio::awaitable<void> caller_session::refuse_request(unsigned status)
@@ -274,23 +312,31 @@
     discards_input_ = true;
     observe::log(event::gateway_caller_refused,
                  {{"status", status}, {"served", served_requests_}});
-    const gateway::request_info info = platform::decode_request(parser_->get());
-    co_await send(platform::make_failure(status, info.id), "");
+    const gateway::request_info info =
+        platform::decode_request(reader_.parser().get());
+    reader_.drop();
+    update_memory();
+    if (status == 503)
+        co_await send(
+            platform::make_refusal(status, info.id, memory_retry_delay), "");
+    else
+        co_await send(platform::make_failure(status, info.id), "");
 }
 
 asio::awaitable<void> caller_session::serve_request()
 {
-    auto message = parser_->release();
+    auto message = reader_.release();
     keep_alive_ = message.keep_alive();
     caller_request request;
     request.body =
         std::make_shared<const std::string>(std::move(message.body()));
     request.head = std::move(message.base());
     request.received = received_at_;
-    parser_.reset();
     stream_.expires_never();
+    forwarded_body_ = request.body->size();
     exchange e(state_, std::move(request), *this);
     exchange_ = &e;
+    update_memory();
     watch_caller();
     try
     {
@@ -302,6 +348,7 @@
         abort();
     }
     exchange_ = nullptr;
+    update_memory();
     ++watch_generation_;
     error_code ec;
     ec = stream_.socket().cancel(ec);
@@ -323,25 +370,22 @@
 {
     if (ec || generation != watch_generation_ || !exchange_)
         return;
-    const auto space = buffer_.prepare(read_size);
-    const auto n = recv(stream_.socket().native_handle(), space.data(),
-                        space.size(), MSG_DONTWAIT);
+    const auto n = reader_.read_ahead(read_size);
     const bool would_block = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    if (n > 0)
-        buffer_.commit(std::size_t(n));
-    else if (!would_block)
+    if (n <= 0 && !would_block)
     {
         is_failed_ = true;
         return exchange_->on_caller_disconnected();
     }
-    if (buffer_.size() < max_read_ahead)
+    if (reader_.unparsed_bytes() < max_read_ahead)
         watch_caller();
+    update_memory();
 }
 
 /// A request that has been sent behind the current one gets an answer first.
 bool caller_session::must_close()
 {
-    return state_.is_draining && buffer_.size() == 0 &&
+    return state_.is_draining && reader_.unparsed_bytes() == 0 &&
            !has_pending_input(stream_.socket());
 }
 
@@ -353,8 +397,10 @@
     message.keep_alive(keep_alive_);
     message.prepare_payload();
     stream_.expires_after(write_timeout);
+    set_unread(message.body().size());
     error_code ec;
     co_await http::async_write(stream_, message, redirect_to(ec));
+    set_unread(0);
     is_failed_ = is_failed_ || ec;
     stream_.expires_never();
 }
@@ -379,8 +425,10 @@
     stream_.expires_after(write_timeout);
     error_code ec;
     const asio::const_buffer bytes(piece.data(), piece.size());
+    set_unread(piece.size());
     co_await asio::async_write(stream_, http::make_chunk(bytes),
                                redirect_to(ec));
+    set_unread(0);
     is_failed_ = is_failed_ || ec;
 }
 
--- a/gateway/caller_session.hpp
+++ b/gateway/caller_session.hpp
@@ -3,11 +3,10 @@
 
 #include "gateway/answer_writer.hpp"
 #include "gateway/exchange.hpp"
+#include "gateway/request_reader.hpp"
 #include "gateway/state.hpp"
 
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
-#include <optional>
 
 namespace poplar::gateway
 {
@@ -19,6 +18,9 @@
 {
 public:
     caller_session(gateway_state& state, asio::ip::tcp::socket socket);
+    ~caller_session() override;
+    caller_session(const caller_session&) = delete;
+    caller_session& operator=(const caller_session&) = delete;
 
     /// Serves requests until the connection is closed, by either side.
     asio::awaitable<void> run();
@@ -43,16 +45,16 @@
     void abort() override;
 
 private:
-    using parser = http::request_parser<http::string_body>;
-
     asio::awaitable<bool> wait_for_request();
     duration idle_timeout() const;
     duration end_when_idle(mono_time idle_since);
     asio::awaitable<bool> read_request();
     asio::awaitable<bool> read_body();
+    /// Answers or logs a request that could not be read because of `ec`.
+    asio::awaitable<void> refuse_unread(error_code ec);
     asio::awaitable<void> serve_request();
     /// Answers with `status` a request that is malformed, oversized or above
-    /// the memory limit for bodies; the connection is closed afterwards.
+    /// a memory limit; the connection is closed afterwards.
     asio::awaitable<void> refuse_request(unsigned status);
     /// Closes the connection once the caller has closed its side, so that
     /// unread bytes do not reset it before the caller has read the last answer.
@@ -66,14 +68,22 @@
     void watch_caller();
     void on_caller_readable(const error_code& ec, unsigned generation);
     caller_limits limits() const;
+    /// Reports the bytes that the connection holds.
+    void update_memory();
+    void set_unread(std::size_t bytes);
+    /// Ends the request because callers hold too much memory: with 503 if it
+    /// has not been forwarded, otherwise by closing the connection.
+    void end_for_memory();
     /// Whether the connection is closed after the current answer because the
     /// gateway shuts down.
     bool must_close();
 
     gateway_state& state_;
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
-    std::optional<parser> parser_;
+    request_reader reader_;
+    caller_memory::handle memory_;
+    std::size_t forwarded_body_ = 0; ///< Of the request being served, in bytes.
+    std::size_t unread_ = 0;         ///< Bytes of the write in progress.
     mono_time received_at_{};
     exchange* exchange_ = nullptr;
     /// Identifies the latest watch; callbacks of earlier ones are ignored.
@@ -83,6 +93,7 @@
     bool keep_alive_ = true;
     bool is_failed_ = false;
     bool is_closing_ = false;
+    bool is_over_memory_ = false; ///< The request is refused or cut for that.
     /// Whether bytes still to come belong to a request that was refused.
     bool discards_input_ = false;
 };
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -116,8 +116,7 @@
       callers_(listen_at(loop_, settings.listen)),
       ready_(listen_at(loop_, settings.ready)),
       admin_(listen_at(loop_, settings.admin)),
-      status_handler_([this](const std::string& path)
-                      { return answer_status(path); }),
+      status_hooks_(make_status_hooks()),
       configuration_sharing_(settings.instance.value,
                              digest(platform::configuration_prefix),
                              configuration_validity(settings)),
@@ -221,10 +220,8 @@
 void gateway::start_loop()
 {
     asio::co_spawn(loop_, accept_callers(), asio::detached);
-    asio::co_spawn(loop_, serve_status(ready_, status_handler_),
-                   asio::detached);
-    asio::co_spawn(loop_, serve_status(admin_, status_handler_),
-                   asio::detached);
+    asio::co_spawn(loop_, serve_status(ready_, status_hooks_), asio::detached);
+    asio::co_spawn(loop_, serve_status(admin_, status_hooks_), asio::detached);
     asio::co_spawn(loop_, sweep_periodically(), asio::detached);
     state_.loads.start(make_load_exchange_hooks());
     thread_ = std::thread([this] { loop_.run(); });
@@ -487,6 +484,8 @@
         timer.expires_after(sweep_interval);
         co_await timer.async_wait(asio::use_awaitable);
         state_.upstreams.sweep(now());
+        state_.metrics.set_caller_bytes(state_.memory.total());
+        trimmer_.sweep(now());
         if (!registered_gateways_.empty())
             update_retry_budgets();
     }
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/caller_session.hpp"
 #include "gateway/engine_control.hpp"
+#include "gateway/memory_trimmer.hpp"
 #include "gateway/state.hpp"
 #include "gateway/status_server.hpp"
 #include "gateway/usage_duty.hpp"
@@ -70,6 +71,8 @@
     asio::awaitable<void> serve(std::shared_ptr<caller_session> session);
     asio::awaitable<void> sweep_periodically();
     status_answer answer_status(const std::string& path) const;
+    status_server_hooks make_status_hooks();
+    void on_status_connection_closed();
     bool is_ready() const;
     /// Counts sessions with an unanswered request; blocks until the loop has
     /// run the count.
@@ -92,7 +95,9 @@
     asio::ip::tcp::acceptor callers_;
     asio::ip::tcp::acceptor ready_;
     asio::ip::tcp::acceptor admin_;
-    const status_handler status_handler_;
+    const status_server_hooks status_hooks_;
+    event_limit status_log_;
+    memory_trimmer trimmer_;
     sessions sessions_;
     std::unique_ptr<store::watcher> configuration_watcher_;
     std::unique_ptr<store::watcher> upstream_watcher_;
--- a/gateway/gateway_callers.cpp
+++ b/gateway/gateway_callers.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway.hpp"
 
+#include "observe/log.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -8,6 +10,32 @@
 namespace poplar::gateway
 {
 
+status_server_hooks gateway::make_status_hooks()
+{
+    status_server_hooks hooks;
+    hooks.answer = [this](const std::string& path)
+    {
+        return answer_status(path);
+    };
+    hooks.max_connections = [this]
+    {
+        return std::size_t(state_.settings.limits.max_status_callers);
+    };
+    hooks.on_connection_closed = [this]
+    {
+        on_status_connection_closed();
+    };
+    return hooks;
+}
+
+void gateway::on_status_connection_closed()
+{
+    state_.metrics.record_ended_caller("max_status_callers");
+    if (const auto n = status_log_.count(now()))
+        observe::log(observe::event::gateway_status_callers_exceeded,
+                     {{"connections", *n}});
+}
+
 asio::awaitable<void> gateway::accept_callers()
 {
     while (callers_.is_open())
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -300,9 +300,11 @@
         }
         catch (const parse_error& failure)
         {
-            observe::log(observe::event::gateway_load_report_refused,
-                         {{"from", from.address().to_string()},
-                          {"reason", failure.what()}});
+            if (const auto refused = refused_reports_.count(now()))
+                observe::log(observe::event::gateway_load_report_refused,
+                             {{"from", from.address().to_string()},
+                              {"reason", failure.what()},
+                              {"reports", *refused}});
         }
     }
 }
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -6,6 +6,7 @@
 /// its own load alone.
 #pragma once
 
+#include "gateway/event_limit.hpp"
 #include "gateway/fleet.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -178,6 +179,7 @@
     const std::uint64_t process_;
     asio::io_context& loop_;
     asio::ip::udp::socket socket_;
+    event_limit refused_reports_; ///< Anybody may send some.
     std::vector<asio::ip::udp::endpoint> peers_;
     load_exchange_hooks hooks_;
     std::size_t next_peer_ = 0;
--- a/gateway/main.cpp
+++ b/gateway/main.cpp
@@ -56,6 +56,7 @@
 
 daemon::exit_code serve(settings::reader& all, daemon::stop_signal& stop)
 {
+    configure_allocator();
     const gateway_settings s = parse_gateway_settings(all);
     store::http_store_options options{s.store};
     options.watch_margin = policy::from_seconds(
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -59,7 +59,18 @@
                          .Name("poplar_gateway_open_requests")
                          .Help("Requests without a final answer")
                          .Register(observe::metrics())
-                         .Add({}))
+                         .Add({})),
+      ended_callers_(prometheus::BuildCounter()
+                         .Name("poplar_gateway_ended_callers_total")
+                         .Help("Requests and connections of callers that were "
+                               "ended because of a limit, by its setting")
+                         .Register(observe::metrics())),
+      caller_bytes_(prometheus::BuildGauge()
+                        .Name("poplar_gateway_caller_bytes")
+                        .Help("Bytes that callers have sent and that are held, "
+                              "and of answers that they have not read")
+                        .Register(observe::metrics())
+                        .Add({}))
 {
 }
 
@@ -128,4 +139,14 @@
     open_requests_.Set(n);
 }
 
+void gateway_metrics::record_ended_caller(const std::string& limit)
+{
+    ended_callers_.Add({{"limit", limit}}).Increment();
+}
+
+void gateway_metrics::set_caller_bytes(std::size_t n)
+{
+    caller_bytes_.Set(double(n));
+}
+
 } // namespace poplar::gateway
--- a/gateway/metrics.hpp
+++ b/gateway/metrics.hpp
@@ -29,6 +29,10 @@
     void record_account(const account_name& account, const std::string& outcome,
                         duration elapsed);
     void set_open_requests(unsigned n);
+    /// A request was ended, or a connection closed, because of a limit of this
+    /// process; `limit` is the name of its setting.
+    void record_ended_caller(const std::string& limit);
+    void set_caller_bytes(std::size_t n);
 
 private:
     /// Metrics of one account label.
@@ -49,6 +53,8 @@
     std::map<std::string, account_metrics> accounts_;
     account_labels labels_;
     prometheus::Gauge& open_requests_;
+    prometheus::Family<prometheus::Counter>& ended_callers_;
+    prometheus::Gauge& caller_bytes_;
 };
 
 } // namespace poplar::gateway
--- a/gateway/settings.cpp
+++ b/gateway/settings.cpp
@@ -39,6 +39,16 @@
                    byte_count(std::int64_t(1) << 34));
     l.max_callers = static_cast<unsigned>(
         table.integer("max_callers", l.max_callers, 1, 1 << 20));
+    // At least two reads beyond the pipelined requests that are read ahead.
+    l.max_unparsed_bytes = table.size(
+        "max_unparsed_bytes", l.max_unparsed_bytes,
+        byte_count(std::int64_t(64) << 10), byte_count(std::int64_t(16) << 20));
+    l.max_status_callers = static_cast<unsigned>(
+        table.integer("max_status_callers", l.max_status_callers, 1, 1 << 20));
+    if (table.has("memory"))
+        l.memory = table.size("memory", byte_count(0),
+                              byte_count(std::int64_t(1) << 20),
+                              byte_count(std::int64_t(1) << 40));
     return l;
 }
 
--- a/gateway/settings.hpp
+++ b/gateway/settings.hpp
@@ -28,6 +28,14 @@
     unsigned max_open_requests = 1500;
     byte_count max_body_bytes{std::int64_t(48) << 20}; ///< Sum of all bodies.
     unsigned max_callers = 2500;                       ///< Open connections.
+    /// Of one connection: received and not parsed. A chunk-size line with its
+    /// extensions and a trailer are parsed as a whole.
+    byte_count max_unparsed_bytes{std::int64_t(64) << 10};
+    /// Open connections to the ready port, and to the admin port.
+    unsigned max_status_callers = 64;
+    /// Memory of the machine; callers may occupy a fixed part of it. Empty: no
+    /// budget.
+    std::optional<byte_count> memory;
 };
 
 struct gateway_timeouts
--- a/gateway/state.hpp
+++ b/gateway/state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/account_table.hpp"
+#include "gateway/caller_memory.hpp"
 #include "gateway/fleet.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/metrics.hpp"
@@ -42,6 +43,7 @@
     fleet upstreams;
     load_exchange loads;
     gateway_metrics metrics;
+    caller_memory memory{metrics};
     usage_meter usage;
     /// True if the store has confirmed the configuration recently. Otherwise an
     /// unknown key may be one that a newer configuration adds.
--- a/gateway/status_server.cpp
+++ b/gateway/status_server.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -13,6 +14,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <list>
+#include <memory>
 
 namespace poplar::gateway
 {
@@ -28,11 +31,17 @@
 /// Delay after a failed accept, for example when file descriptors run out.
 constexpr duration accept_retry_delay = std::chrono::milliseconds(50);
 
-asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket,
-                                       const status_handler& handler)
+/// Bytes of one connection that are received and not parsed; heads are limited
+/// to 8 KiB by Beast, trailers and chunk extensions have no other limit.
+constexpr std::size_t max_unparsed_bytes = 16 << 10;
+
+/// Open connections of one port, the oldest first.
+using connections = std::list<beast::tcp_stream>;
+
+asio::awaitable<void> serve_requests(beast::tcp_stream& stream,
+                                     const status_handler& handler)
 {
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     bool keep_alive = true;
     while (keep_alive)
     {
@@ -59,6 +68,15 @@
     }
 }
 
+/// Both references belong to coroutines that end with the loop.
+asio::awaitable<void> serve_connection(std::shared_ptr<connections> open,
+                                       connections::iterator stream,
+                                       const status_handler& handler)
+{
+    co_await serve_requests(*stream, handler);
+    open->erase(stream);
+}
+
 } // namespace
 
 asio::ip::tcp::acceptor listen_at(asio::io_context& loop,
@@ -93,8 +111,9 @@
 }
 
 asio::awaitable<void> serve_status(asio::ip::tcp::acceptor& acceptor,
-                                   const status_handler& handler)
+                                   const status_server_hooks& hooks)
 {
+    const auto open = std::make_shared<connections>();
     while (acceptor.is_open())
     {
         error_code ec;
@@ -105,8 +124,17 @@
             co_await pause_accepting(acceptor.get_executor(), ec.message());
             continue;
         }
+        if (open->size() >= hooks.max_connections())
+        {
+            // It is erased when its coroutine has ended; the next accept may
+            // find it once more, which bounds the excess to one.
+            open->front().close();
+            hooks.on_connection_closed();
+            co_await asio::post(acceptor.get_executor(), asio::use_awaitable);
+        }
+        const auto stream = open->emplace(open->end(), std::move(socket));
         asio::co_spawn(acceptor.get_executor(),
-                       serve_connection(std::move(socket), handler),
+                       serve_connection(open, stream, hooks.answer),
                        asio::detached);
     }
 }
--- a/gateway/status_server.hpp
+++ b/gateway/status_server.hpp
@@ -33,9 +33,17 @@
 asio::awaitable<void> pause_accepting(asio::any_io_executor executor,
                                       const std::string& reason);
 
+struct status_server_hooks
+{
+    status_handler answer;
+    /// Limit on open connections; beyond it the oldest one is closed.
+    std::function<std::size_t()> max_connections;
+    std::function<void()> on_connection_closed; ///< Because of the limit.
+};
+
 /// Accepts and serves connections until `acceptor` is closed or the loop stops.
-/// `acceptor` and `handler` must outlive the coroutine.
+/// `acceptor` and `hooks` must outlive the coroutine.
 asio::awaitable<void> serve_status(asio::ip::tcp::acceptor& acceptor,
-                                   const status_handler& handler);
+                                   const status_server_hooks& hooks);
 
 } // namespace poplar::gateway
