--- a/tests/platform/edge_fuzz_test.cpp
+++ b/tests/platform/edge_fuzz_test.cpp
@@ -1,10 +1,15 @@
 // Guards against malformed bytes from callers and upstreams that crash or block
-// a gateway, split one request into two, or make incomplete events look
-// complete. Mutates a corpus; POPLAR_FUZZ="SEED COUNT" runs other mutations.
+// a gateway, split one request into two, make incomplete events look complete,
+// or are held without a limit. Mutates a corpus; POPLAR_FUZZ="SEED COUNT" runs
+// other mutations.
 #include "gateway/event_stream.hpp"
+#include "gateway/request_reader.hpp"
 #include "tests/platform/gateway_fixture.hpp"
 
 #include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -122,6 +127,76 @@
     }
 }
 
+constexpr std::size_t reader_header_limit = 8000;
+constexpr std::size_t reader_body_limit = 100'000;
+constexpr std::size_t reader_unparsed_limit = 64 << 10;
+/// Size of the repeated part of an input; above all limits.
+constexpr std::size_t repeated_bytes = 300 << 10;
+
+/// Repeats a part of `text` until it is longer than all limits.
+void repeat_part(std::string& text, mutator& m)
+{
+    const std::size_t at = m.below(text.size());
+    const std::string part = text.substr(at, 1 + m.below(40));
+    std::string repeated;
+    while (!part.empty() && repeated.size() < repeated_bytes)
+        repeated += part;
+    text.insert(at, repeated);
+}
+
+asio::awaitable<void> read_requests(request_reader& reader,
+                                    beast::tcp_stream& stream)
+{
+    error_code ec;
+    while (!ec)
+    {
+        reader.begin(reader_header_limit, reader_body_limit,
+                     reader_unparsed_limit);
+        ec = co_await reader.read_head();
+        if (!ec)
+            ec = co_await reader.read_body();
+        if (!ec)
+            reader.release();
+    }
+    stream.close();
+}
+
+// The input is sent and read on one thread, so that a seed gives one result.
+TEST(request_reader_fuzz, holds_no_more_than_its_limits)
+{
+    const auto texts = corpus("requests");
+    for (const std::uint64_t seed : seeds())
+    {
+        mutator m(seed);
+        std::string text = m.mutate(texts);
+        repeat_part(text, m);
+        asio::io_context loop;
+        auto acceptor = listen_at(loop, {"127.0.0.1", 0});
+        asio::ip::tcp::socket caller(loop);
+        caller.connect(acceptor.local_endpoint());
+        beast::tcp_stream stream(acceptor.accept());
+        std::size_t most_unparsed = 0;
+        std::size_t most_body = 0;
+        request_reader* reader = nullptr;
+        request_reader r(stream,
+                         [&]
+                         {
+                             most_unparsed = std::max(most_unparsed,
+                                                      reader->unparsed_bytes());
+                             most_body =
+                                 std::max(most_body, reader->body_bytes());
+                         });
+        reader = &r;
+        asio::co_spawn(loop, read_requests(r, stream), asio::detached);
+        asio::async_write(caller, asio::buffer(text),
+                          [&](error_code, std::size_t) { caller.close(); });
+        loop.run_for(seconds(10));
+        EXPECT_FALSE(stream.socket().is_open()) << "seed " << seed;
+        EXPECT_LE(most_unparsed, reader_unparsed_limit) << "seed " << seed;
+        EXPECT_LE(most_body, reader_body_limit) << "seed " << seed;
+    }
+}
+
 class edge_fuzz : public gateway_test
 {
 protected:
