--- a/gateway/state.hpp
+++ b/gateway/state.hpp
@@ -1,6 +1,7 @@
 /// State that all requests of a gateway share.
 #pragma once
 
+#include "gateway/caller_memory.hpp"
 #include "gateway/fleet.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/metrics.hpp"
@@ -31,6 +32,7 @@
     fleet upstreams;
     load_exchange loads;
     gateway_metrics metrics;
+    caller_memory memory{metrics};
     usage_meter usage;
     /// True if the store has confirmed the configuration recently. Otherwise an
     /// unknown key may be one that a newer configuration adds.
