--- a/tests/gateway/scaling_duty_test.cpp
+++ b/tests/gateway/scaling_duty_test.cpp
@@ -151,7 +151,7 @@
         }
         catch (const store::store_error&)
         {
-            // As in the gateway, the next step tries again.
+            ++store_failures; // As in the gateway, the next step tries again.
         }
     }
 
@@ -186,6 +186,7 @@
     first_era_store store;
     fake_api api;
     mono_time time{seconds(10)};
+    unsigned store_failures = 0;
     duration call_time{};
     double asked = 2.5; ///< By callers in each failure domain.
     bool has_scaling = true;
@@ -437,6 +438,7 @@
     w.run(seconds(20), {0});
     EXPECT_TRUE(w.holds(1));
     EXPECT_EQ(w.number(), 10U);
+    EXPECT_EQ(w.store_failures, 0U);
 }
 
 TEST(scaling_duty, passes_on_when_the_holder_cannot_reach_the_api)
