--- a/tests/settings_docs_test.cpp
+++ b/tests/settings_docs_test.cpp
@@ -185,8 +185,8 @@
 /// Address, or a name, for a key without a default.
 std::string required_value(const documented_key& key)
 {
-    static const std::vector<std::string> addresses{"platform", "upstream",
-                                                    "store", "listen"};
+    static const std::vector<std::string> addresses{
+        "platform", "upstream", "store", "listen", "platform_api.address"};
     return std::ranges::count(addresses, key.name) > 0 ? "\"127.0.0.1:1\""
                                                        : "\"some\"";
 }
