--- a/gateway/scaling_duty.cpp
+++ b/gateway/scaling_duty.cpp
@@ -1,5 +1,6 @@
 #include "gateway/scaling_duty.hpp"
 
+#include "gateway/duty_timing.hpp"
 #include "observe/log.hpp"
 
 #include <algorithm>
@@ -15,13 +16,6 @@
 using observe::event;
 using std::chrono::milliseconds;
 
-/// Announcements come every half second; three may be lost.
-constexpr duration silence_limit = milliseconds(1800);
-/// Each further gateway waits this much longer before it takes over, so that
-/// one of them acquires the lease first.
-constexpr duration takeover_delay = milliseconds(1200);
-/// Interval of attempts to acquire the lease while another process may hold it.
-constexpr duration acquire_interval = std::chrono::seconds(1);
 /// A service in a failure domain is watched for this long before the first
 /// order: the entries of its upstreams and the load reports of the other
 /// gateways must have arrived.
@@ -34,9 +28,6 @@
 /// Delay before an order is repeated; doubles up to the longest.
 constexpr duration first_retry_delay = milliseconds(500);
 constexpr duration max_retry_delay = std::chrono::seconds(8);
-/// A holder that cannot reach the platform's API in this many calls lets
-/// another gateway try.
-constexpr unsigned max_unreachable = 2;
 
 duration grow(duration delay)
 {
@@ -143,9 +134,9 @@
 {
     const mono_time t = options_.clock();
     if (!options_.acquires_lease || !lease.is_holder() ||
-        v.holder_silence > silence_limit || t < next_acquire_)
+        v.holder_silence > holder_silence_limit || t < next_acquire_)
         return;
-    next_acquire_ = t + acquire_interval;
+    next_acquire_ = t + lease_acquire_interval;
     lease.acquire();
 }
 
@@ -155,10 +146,10 @@
         return true;
     const mono_time t = options_.clock();
     if (!options_.acquires_lease || t < next_acquire_ ||
-        v.holder_silence <= silence_limit ||
-        t - *due_since_ < takeover_delay * std::int64_t(v.index))
+        v.holder_silence <= holder_silence_limit ||
+        t - *due_since_ < duty_takeover_delay * std::int64_t(v.index))
         return false;
-    next_acquire_ = t + acquire_interval;
+    next_acquire_ = t + lease_acquire_interval;
     const auto token = lease.acquire();
     if (token)
         observe::log(event::gateway_duty_taken, {{"fencing", token->value},
@@ -232,7 +223,7 @@
     paused_until_ = t + pause_;
     unreachable_ =
         result.failure == net::client_failure::none ? 0 : unreachable_ + 1;
-    if (!options_.acquires_lease || unreachable_ < max_unreachable)
+    if (!options_.acquires_lease || unreachable_ < max_unreachable_calls)
         return;
     observe::log(event::gateway_duty_yielded,
                  {{"reason", "the platform's API cannot be reached"}});
--- a/gateway/usage_duty.cpp
+++ b/gateway/usage_duty.cpp
@@ -1,6 +1,7 @@
 #include "gateway/usage_duty.hpp"
 
 #include "base/json_text.hpp"
+#include "gateway/duty_timing.hpp"
 #include "observe/log.hpp"
 #include "platform/duties.hpp"
 
@@ -17,21 +18,11 @@
 using observe::event;
 using std::chrono::milliseconds;
 
-/// Announcements come every half second; three may be lost.
-constexpr duration silence_limit = milliseconds(1800);
-/// Each further gateway waits this much longer before it takes over, so that
-/// one of them acquires the lease first.
-constexpr duration takeover_delay = milliseconds(1200);
-/// Interval of attempts to acquire the lease while another process may hold it.
-constexpr duration acquire_interval = std::chrono::seconds(1);
 constexpr duration call_timeout = std::chrono::seconds(1);
 constexpr std::size_t max_answer_bytes = std::size_t(16) << 10;
 /// Delay before a report that failed is sent again; doubles up to the longest.
 constexpr duration first_send_delay = milliseconds(300);
 constexpr duration max_send_delay = std::chrono::seconds(4);
-/// A holder that cannot reach the platform's API in this many calls lets
-/// another gateway try.
-constexpr unsigned max_unreachable = 2;
 constexpr const char* usage_member = "usage";
 
 std::uint64_t sum_of(const policy::account_counts& counts)
@@ -114,7 +105,7 @@
     was_holder_ = was_holder_ || lease.is_holder();
     if (!lease.is_holder())
     {
-        next_acquire_ = options_.clock() + acquire_interval;
+        next_acquire_ = options_.clock() + lease_acquire_interval;
         const auto token = lease.acquire();
         was_holder_ = token.has_value();
         if (!token)
@@ -141,8 +132,8 @@
     if (options_.clock() < next_acquire_)
         return false;
     return was_holder_ ||
-           v.holder_silence >
-               silence_limit + takeover_delay * std::int64_t(v.index);
+           v.holder_silence > holder_silence_limit +
+                                  duty_takeover_delay * std::int64_t(v.index);
 }
 
 bool usage_duty::fix_reports(duty_lease& lease, const usage_view& v)
@@ -204,7 +195,7 @@
         if (!token || !lease.may_act())
             return;
         if (!send(it, *token, call))
-            return note_failure(lease, unreachable_ > 0);
+            return note_failure(lease);
         confirmed_.insert(it.window);
         unreachable_ = 0;
         send_delay_ = first_send_delay;
@@ -233,11 +224,11 @@
     return has_arrived;
 }
 
-void usage_duty::note_failure(duty_lease& lease, bool is_unreachable)
+void usage_duty::note_failure(duty_lease& lease)
 {
     next_send_ = options_.clock() + send_delay_;
     send_delay_ = std::min(2 * send_delay_, max_send_delay);
-    if (!is_unreachable || unreachable_ < max_unreachable)
+    if (unreachable_ < max_unreachable_calls)
         return;
     observe::log(event::gateway_duty_yielded,
                  {{"reason", "the platform's API cannot be reached"}});
--- a/gateway/usage_duty.hpp
+++ b/gateway/usage_duty.hpp
@@ -61,7 +61,8 @@
     /// False if the report did not arrive.
     bool send(const policy::usage_report& report, fencing_token fencing,
               const platform_call& call);
-    void note_failure(duty_lease& lease, bool is_unreachable);
+    /// Delays the next call; yields the lease if the API cannot be reached.
+    void note_failure(duty_lease& lease);
     void set_announced(bool is_holder);
     void forget_before(policy::window_number window);
 
