Engine speed: learned from the prefill calls of all gateways

Placement took all engines of a service for equally fast, although measured prefill times differ by factors of 1.3 to 1.9 between engines. policy/engine_speed estimates a relative speed of each engine process from the ratios of measured to expected prefill time. Prefill rates of a service are now those of an engine of speed 1, so demand stays in reference-engine seconds.

Calls that fetch KV cache or that are sent before the cached blocks are ready are not measured, nor are unsplit requests.

--- a/gateway/exchange_prefill.cpp
+++ b/gateway/exchange_prefill.cpp
@@ -90,9 +90,13 @@
     kv_handle kv = accept_prefill(*u, std::move(a));
     if (!kv.empty() && was_idle)
     {
-        placement.prefill_rate().add(choice.uncached, elapsed_seconds);
-        placement.engine_prefill_rate().add(choice.uncached, elapsed_seconds);
+        // The rates are those of an engine of speed 1.
+        const double reference_seconds = elapsed_seconds * choice.speed;
+        placement.prefill_rate().add(choice.uncached, reference_seconds);
+        placement.engine_prefill_rate().add(choice.uncached, reference_seconds);
     }
+    if (!kv.empty())
+        state_.upstreams.note_prefill(*u, choice, elapsed_seconds, now());
     co_return kv;
 }
 
@@ -203,6 +207,7 @@
          {"holds", block_waits_},
          {"wait_ms", std::int64_t(first.wait_seconds * 1000)},
          {"read_ms", std::int64_t(first.total_seconds * 1000)},
+         {"speed_percent", std::int64_t(first.speed * 100)},
          {"left_ms", to_milliseconds(remaining_time())}});
 }
 
--- a/gateway/fleet.cpp
+++ b/gateway/fleet.cpp
@@ -174,6 +174,7 @@
 {
     save_health(*it, now());
     it->is_removed = true;
+    speeds_.forget_engine({it->key, it->record.started_ms});
     it->placed.usable = false;
     it->connections.close_idle();
     std::erase(fleet_of(it->record.service).members, it);
--- a/gateway/fleet.hpp
+++ b/gateway/fleet.hpp
@@ -9,6 +9,7 @@
 #include "gateway/types.hpp"
 #include "gateway/upstream_call.hpp"
 #include "policy/engine_placement.hpp"
+#include "policy/engine_speed.hpp"
 #include "policy/fatal_blocks.hpp"
 #include "policy/request_limit.hpp"
 #include "policy/retry_budget.hpp"
@@ -141,6 +142,9 @@
     /// as leaving; peers repeat the upstream in each report. Without connection
     /// to the store the time starts when the connection is back.
     duration reported_leaving_timeout{std::chrono::milliseconds(2000)};
+    /// Time between estimates of engine speeds, which change within some tens
+    /// of seconds.
+    duration speed_update_interval{std::chrono::milliseconds(500)};
     /// Time for which ended upstreams are reported to peers: several times as
     /// long as a stalled store watch can go unnoticed.
     duration ended_report_time{std::chrono::seconds(10)};
@@ -210,6 +214,23 @@
     /// Applies what a peer gateway learned from answers.
     void apply_reported_limits(std::span<const announced_limit> reported,
                                mono_time now);
+    /// Adds a finished prefill call of this gateway to the engine's measured
+    /// speed.
+    void note_prefill(const upstream& u, const policy::placement_choice& choice,
+                      double elapsed_seconds, mono_time now);
+    /// At most `max_count` engines that this gateway measured since `since`.
+    std::vector<policy::speed_measurement>
+    measured_speeds(mono_time since, std::size_t max_count,
+                    mono_time now) const;
+    /// Applies what a process of a peer gateway measured itself.
+    void
+    apply_reported_speeds(const std::string& peer, std::uint64_t peer_process,
+                          std::span<const policy::speed_measurement> reported,
+                          mono_time now);
+    void forget_reported_speeds(const std::string& peer);
+    /// Copies the estimated speeds to the engines, at most once in
+    /// `speed_update_interval`.
+    void update_speeds(mono_time now);
     /// Sets the gateways that divide the limits on requests and connections of
     /// upstreams among them.
     void set_gateways(std::string self, std::vector<std::string> peers,
@@ -339,6 +360,8 @@
     policy::fatal_block_detector fatal_blocks_;
     /// Requests that broke off at engines whose processes may have ended.
     std::vector<broken_off> broken_off_;
+    policy::engine_speed_table speeds_;
+    mono_time speeds_updated_at_{};
     std::string self_;
     std::vector<std::string> peers_; ///< Other gateways.
     mono_time limited_calls_logged_at_{};
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -52,6 +52,9 @@
 /// Limits of block crashes and completions in one report, 32 and 16 bytes
 /// each; further ones are left out.
 constexpr std::size_t max_crashes = 40;
+/// Limit of measured engines in one report, 24 bytes each; further ones are
+/// left out.
+constexpr std::size_t max_speeds = 200;
 /// Crashes and completions are in every report for the first time, so that all
 /// peers learn of them soon, and then in one of several, for peers that start.
 constexpr duration crash_news_time = std::chrono::seconds(2);
@@ -103,16 +106,22 @@
     return true;
 }
 
-void peer_loads::expire(mono_time before, std::vector<std::uint64_t>& changed)
+std::vector<std::string> peer_loads::expire(mono_time before,
+                                            std::vector<std::uint64_t>& changed)
 {
+    std::vector<std::string> expired;
     std::erase_if(peers_,
                   [&](const auto& it)
                   {
                       const bool is_silent = it.second.last_received < before;
                       if (is_silent)
+                      {
                           subtract(it.second, changed);
+                          expired.push_back(it.first);
+                      }
                       return is_silent;
                   });
+    return expired;
 }
 
 policy::placed_load peer_loads::sum(std::uint64_t upstream) const
@@ -217,17 +226,24 @@
     {
         timer.expires_after(interval());
         co_await timer.async_wait(asio::use_awaitable);
-        const mono_time cutoff = now() - peer_timeout();
-        std::vector<std::uint64_t> changed;
-        loads_.expire(cutoff, changed);
-        update_fleet(changed);
-        hooks_.on_peers_expired(cutoff);
+        expire_peers();
         update_gateways();
+        upstreams_.update_speeds(now());
         if (!peers_.empty())
             send();
     }
 }
 
+void load_exchange::expire_peers()
+{
+    const mono_time cutoff = now() - peer_timeout();
+    std::vector<std::uint64_t> changed;
+    for (const std::string& it : loads_.expire(cutoff, changed))
+        upstreams_.forget_reported_speeds(it);
+    update_fleet(changed);
+    hooks_.on_peers_expired(cutoff);
+}
+
 void load_exchange::send()
 {
     load_report report;
@@ -253,6 +269,11 @@
         sent_blocks_.pop_front();
     for (const auto& it : sent_blocks_)
         report.blocks.insert(report.blocks.end(), it.begin(), it.end());
+    // One report more than a cycle, so that an engine measured while a report
+    // is delayed is not left out.
+    report.speeds = upstreams_.measured_speeds(
+        now() - interval() * std::int64_t(reports_per_cycle() + 1), max_speeds,
+        now());
     const bool is_idle = report.loads.empty() && report.blocks.empty() &&
                          report.leaving.empty() && report.crashes.empty() &&
                          !hooks_.has_dependent_peers();
@@ -321,6 +342,8 @@
         gateways_.insert_or_assign(report.sender, now()).second)
         update_gateways();
     upstreams_.apply_reported_limits(report.limits, now());
+    upstreams_.apply_reported_speeds(report.sender, report.process,
+                                     report.speeds, now());
     upstreams_.apply_reported_crashes(report.crashes, report.completions);
     for (const reported_block& it : report.blocks)
         if (const upstream_ptr u = upstreams_.find_by_key(it.upstream))
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -60,6 +60,9 @@
     std::vector<policy::block_completion> completions;
     /// Time of day at the sender since the Unix epoch; 0 if not stated.
     duration wall_clock{};
+    /// Of the sender's own prefill calls, for engines measured in the last
+    /// cycle of reports.
+    std::vector<policy::speed_measurement> speeds;
 };
 
 /// Hooks for state that other components share through the load reports.
@@ -97,8 +100,10 @@
     /// of upstreams whose sums may have changed.
     bool apply(const load_report& report, mono_time now,
                std::vector<std::uint64_t>& changed);
-    /// Removes peers whose last report was received before this time.
-    void expire(mono_time before, std::vector<std::uint64_t>& changed);
+    /// Removes peers whose last report was received before this time, and
+    /// returns their names.
+    std::vector<std::string> expire(mono_time before,
+                                    std::vector<std::uint64_t>& changed);
     /// Load that all peers together put on an upstream.
     policy::placed_load sum(std::uint64_t upstream) const;
     /// Demand of all peers for a service, by digest of its name.
@@ -166,6 +171,8 @@
     void update_gateways();
     /// Copies the summed load of peers to the upstreams with these keys.
     void update_fleet(const std::vector<std::uint64_t>& changed);
+    /// Removes what peers reported that have been silent for too long.
+    void expire_peers();
     /// Time between reports.
     duration interval() const;
     /// Number of consecutive reports after which each peer has been sent one.
--- a/gateway/load_report.cpp
+++ b/gateway/load_report.cpp
@@ -16,6 +16,11 @@
 constexpr std::uint16_t report_version = 1;
 /// Year 5138; more microseconds could overflow.
 constexpr std::int64_t max_unix_ms = 100'000'000'000'000;
+/// Bounds of the mean ratio and the weight of an engine's prefill calls; they
+/// are wider than what a gateway can measure.
+constexpr double min_speed_ratio = 0.01;
+constexpr double max_speed_ratio = 100;
+constexpr float max_speed_weight = 1e5F;
 /// Rate on the wire that stands for the end of a limit.
 constexpr double no_limit = -1;
 
@@ -118,6 +123,31 @@
     return out;
 }
 
+std::vector<fb::engine_speed>
+to_wire(const std::vector<policy::speed_measurement>& speeds)
+{
+    std::vector<fb::engine_speed> out;
+    std::ranges::transform(speeds, std::back_inserter(out),
+                           [](const policy::speed_measurement& it)
+                           {
+                               return fb::engine_speed(
+                                   it.process.engine, it.process.started_ms,
+                                   float(it.ratio_sum), float(it.weight));
+                           });
+    return out;
+}
+
+/// Throws parse_error.
+policy::speed_measurement from_wire(const fb::engine_speed& in)
+{
+    const double ratio = double(in.ratio_sum()) / double(in.weight());
+    const bool is_valid = in.weight() > 0 && in.weight() <= max_speed_weight &&
+                          ratio >= min_speed_ratio && ratio <= max_speed_ratio;
+    if (!is_valid)
+        throw parse_error("load report with an engine speed out of range");
+    return {{in.upstream(), in.started_ms()}, in.ratio_sum(), in.weight()};
+}
+
 std::vector<fb::service_demand> to_wire(const demand_by_service& demand)
 {
     std::vector<fb::service_demand> out;
@@ -168,6 +198,7 @@
     const auto limits = to_wire(report.limits);
     const auto crashes = to_wire(report.crashes, now());
     const auto completions = to_wire(report.completions, now());
+    const auto speeds = to_wire(report.speeds);
     const auto configuration = to_wire(report.configuration);
     builder.Finish(fb::Createload_report(
         builder, report_version, builder.CreateString(report.sender),
@@ -179,7 +210,8 @@
         builder.CreateVectorOfStructs(limits),
         builder.CreateVectorOfStructs(crashes),
         builder.CreateVectorOfStructs(completions),
-        to_milliseconds(report.wall_clock)));
+        to_milliseconds(report.wall_clock),
+        builder.CreateVectorOfStructs(speeds)));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
             builder.GetSize()};
 }
@@ -230,6 +262,9 @@
                 {it->block(), now() - std::chrono::milliseconds(it->age_ms())});
     report.wall_clock = std::chrono::milliseconds(
         std::clamp<std::int64_t>(in->unix_ms(), 0, max_unix_ms));
+    if (in->speeds())
+        for (const fb::engine_speed* it : *in->speeds())
+            report.speeds.push_back(from_wire(*it));
     return report;
 }
 
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -213,8 +213,9 @@
 
 placement_choice engine_placement::estimate_prefill(
     engine_span engines, std::size_t i, const placed_request& request,
-    const cached_blocks& blocks, double rate) const
+    const cached_blocks& blocks, double reference_rate) const
 {
+    const double rate = reference_rate * engines[i]->speed;
     const std::vector<block_match>& cached = blocks.by_engine;
     const auto hold_for = [&](const block_match& m)
     {
@@ -222,6 +223,7 @@
     };
     placement_choice c;
     c.engine = i;
+    c.speed = engines[i]->speed;
     c.wait_seconds =
         double(load_of(*engines[i]).prefill_tokens_ahead(request.rank).value) /
         rate;
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -64,6 +64,8 @@
     bool is_saturated = false;
     /// Added to each cost estimate, because of recent failures.
     double penalty_seconds = 0;
+    /// Measured prefill rate relative to the service's; see engine_speed.hpp.
+    double speed = 1;
     token_count kv_capacity;
     unsigned slots = 1;
     placed_load own_load;  ///< Of requests from this gateway.
@@ -131,6 +133,8 @@
     /// Time until prefill has finished. In a result of choose_decode it is the
     /// time to transfer the KV cache, and the other times are 0.
     double total_seconds = 0;
+    /// Speed of the engine that the times assume.
+    double speed = 1;
 };
 
 /// Engines for both stages of a request.
@@ -267,12 +271,13 @@
     choose_unsplit(engine_span engines, const placed_request& request,
                    std::span<const std::size_t> excluded,
                    const cached_blocks& cached) const;
-    /// Estimates prefill on engine `i` at `rate` tokens per second, with the
-    /// source of cached blocks that makes it end first, or without one.
+    /// Estimates prefill on engine `i`, where engines of speed 1 process
+    /// `reference_rate` tokens per second, with the source of cached blocks
+    /// that makes it end first, or without one.
     placement_choice estimate_prefill(engine_span engines, std::size_t i,
                                       const placed_request& request,
                                       const cached_blocks& blocks,
-                                      double rate) const;
+                                      double reference_rate) const;
     /// Expected time to transfer the KV cache of `tokens`.
     double transfer_seconds(token_count tokens, const placed_engine& from,
                             const placed_engine& to) const;
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -376,5 +376,102 @@
     EXPECT_TRUE(is_used("u"));
 }
 
+/// Six engines, of which the first takes twice as long as expected in the calls
+/// of this gateway or in those that a peer reports.
+class measured_fleet : public fleet_test
+{
+protected:
+    measured_fleet()
+    {
+        for (int i = 0; i < 6; ++i)
+            upstreams_.apply(record_of(id(i).c_str()));
+    }
+
+    static std::string id(int i)
+    {
+        return "e" + std::to_string(i);
+    }
+
+    void report(std::int64_t started_ms)
+    {
+        std::vector<policy::speed_measurement> reported;
+        for (int i = 0; i < 6; ++i)
+            reported.push_back(
+                {{digest(id(i)), started_ms}, i == 0 ? 80.0 : 40.0, 40});
+        upstreams_.apply_reported_speeds("peer", 1, reported, time_);
+    }
+
+    double speed(int i)
+    {
+        time_ += seconds(1);
+        upstreams_.update_speeds(time_);
+        return upstreams_.find(upstream_id(id(i)))->placed.speed;
+    }
+};
+
+TEST_F(measured_fleet, has_the_speeds_that_its_calls_show)
+{
+    policy::placement_choice choice;
+    choice.prefill_seconds = 0.1;
+    for (int n = 0; n < 40; ++n)
+        for (int i = 0; i < 6; ++i)
+            upstreams_.note_prefill(*upstreams_.find(upstream_id(id(i))),
+                                    choice, i == 0 ? 0.2 : 0.1, time_);
+    EXPECT_EQ(upstreams_.measured_speeds(time_, 4, time_).size(), 4U);
+    EXPECT_LT(speed(0), 0.7);
+    EXPECT_NEAR(speed(1), 1, 0.15);
+    // With the speed in the forecast the calls take as long as expected, which
+    // must not make the engine look as fast as the others.
+    time_ += seconds(60);
+    const double slow = 0.5;
+    choice.speed = slow;
+    choice.prefill_seconds = 0.1 / slow;
+    for (int n = 0; n < 40; ++n)
+        upstreams_.note_prefill(*upstreams_.find(upstream_id(id(0))), choice,
+                                0.2, time_);
+    choice.speed = 1;
+    choice.prefill_seconds = 0.1;
+    for (int n = 0; n < 40; ++n)
+        for (int i = 1; i < 6; ++i)
+            upstreams_.note_prefill(*upstreams_.find(upstream_id(id(i))),
+                                    choice, 0.1, time_);
+    EXPECT_LT(speed(0), 0.7);
+}
+
+// The time of such a call depends on the engine that has the KV cache.
+TEST_F(measured_fleet, does_not_measure_calls_that_fetch_or_wait)
+{
+    policy::placement_choice choice;
+    choice.prefill_seconds = 0.1;
+    choice.source = 1;
+    const upstream_ptr u = upstreams_.find(upstream_id(id(0)));
+    upstreams_.note_prefill(*u, choice, 0.2, time_);
+    choice.source = std::nullopt;
+    choice.hold_seconds = 0.1;
+    upstreams_.note_prefill(*u, choice, 0.2, time_);
+    EXPECT_TRUE(upstreams_.measured_speeds(time_, 4, time_).empty());
+}
+
+// What peers measured at an earlier process once applied to the next one.
+TEST_F(measured_fleet, has_reported_speeds_of_the_present_processes_only)
+{
+    report(5);
+    EXPECT_EQ(speed(0), 1);
+    report(record_of("e0").started_ms);
+    EXPECT_LT(speed(0), 0.7);
+    upstream_record restarted = record_of("e0");
+    restarted.started_ms = 9;
+    upstreams_.apply(restarted);
+    EXPECT_EQ(speed(0), 1);
+}
+
+TEST_F(measured_fleet, forgets_the_speeds_of_a_silent_gateway)
+{
+    report(record_of("e0").started_ms);
+    EXPECT_LT(speed(0), 0.7);
+    upstreams_.forget_reported_speeds("peer");
+    EXPECT_EQ(speed(0), 1);
+}
+
 } // namespace
 } // namespace poplar::gateway
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -38,6 +38,7 @@
     const mono_time crashed_at = now() - seconds(3);
     r.crashes = {{11, {7, 1'700'000'000'000}, crashed_at}};
     r.completions = {{12, crashed_at + seconds(1)}};
+    r.speeds = {{{7, 1'700'000'000'000}, 3.5, 2}};
     const load_report back = decode_load_report(encode_load_report(r));
     EXPECT_EQ(back.sender, "a");
     ASSERT_TRUE(back.configuration);
@@ -56,6 +57,7 @@
     EXPECT_DOUBLE_EQ(back.demand[0].second.prefill, 1.5);
     EXPECT_DOUBLE_EQ(back.demand[0].second.decode, 0.25);
     EXPECT_EQ(back.limits, r.limits);
+    EXPECT_EQ(back.speeds, r.speeds);
     const auto is_near = [](mono_time a, mono_time b)
     {
         return std::chrono::abs(a - b) < milliseconds(500);
@@ -94,6 +96,23 @@
     }
 }
 
+// Such sums would make the estimated speeds of all engines meaningless.
+TEST(load_report, is_refused_with_a_speed_out_of_range)
+{
+    load_report r = report_of(1, 2, 3);
+    const double nan = std::numeric_limits<double>::quiet_NaN();
+    const double infinity = std::numeric_limits<double>::infinity();
+    for (const auto& [ratio_sum, weight] :
+         {std::pair(nan, 1.0), std::pair(1.0, nan), std::pair(infinity, 1.0),
+          std::pair(1.0, infinity), std::pair(0.0, 0.0), std::pair(-1.0, 1.0),
+          std::pair(1.0, -1.0), std::pair(1e6, 1.0)})
+    {
+        r.speeds = {{{7, 5}, ratio_sum, weight}};
+        EXPECT_THROW(decode_load_report(encode_load_report(r)), parse_error)
+            << ratio_sum << " " << weight;
+    }
+}
+
 TEST(peer_loads, take_the_latest_report_of_a_process)
 {
     peer_loads loads;
@@ -137,10 +156,11 @@
     peer_loads loads;
     std::vector<std::uint64_t> changed;
     loads.apply(report_of(1, 1, 2), mono_time(seconds(1)), changed);
-    loads.expire(mono_time(seconds(1)), changed);
+    EXPECT_TRUE(loads.expire(mono_time(seconds(1)), changed).empty());
     EXPECT_EQ(loads.sum(7).in_flight, 2U);
     changed.clear();
-    loads.expire(mono_time(seconds(2)), changed);
+    EXPECT_EQ(loads.expire(mono_time(seconds(2)), changed),
+              std::vector<std::string>{"a"});
     EXPECT_EQ(loads.sum(7).in_flight, 0U);
     EXPECT_EQ(changed, std::vector<std::uint64_t>{7});
 }
