Cached prefixes: cost of displaced blocks and risk of eviction

A cached prefix counted as certain however near it was to eviction, and a new copy of it as free although a full cache evicts other blocks for it. block_cache now tells how deep a block lies in the eviction order and how many tokens an addition evicts. estimate_prefill adds the expected prefill of cached blocks that may have been evicted to the expected time, for the engine's own blocks and for those it would fetch. What a prompt displaces is a cost of the choice only: it delays other requests, not this one. Both are 0 while a cache has room.

The three settings (certain_eviction_depth, oldest_cached_probability, evicted_reuse_probability) are assumed, not measured.

Tests seen to fail: - without displaced_seconds in the costs: prefers_an_engine_whose_cache_has_room - with evicted_reuse_probability as 0: expects_no_longer_time_because_of_displaced_blocks - with cached_probability() always 1: prefers_blocks_that_are_not_about_to_be_evicted - without the mark of the last use in block_cache::touch, and with a depth before the first eviction: tells_how_near_a_block_is_to_eviction

--- a/policy/block_cache.hpp
+++ b/policy/block_cache.hpp
@@ -25,6 +25,11 @@
 {
     token_count tokens;   ///< Tokens of the cached leading blocks.
     mono_time ready_at{}; ///< When prefill of all of them ends.
+    /// Largest fraction of the capacity that was added after the last use of
+    /// one of the blocks; 0 while nothing was evicted. Near 1 the next
+    /// additions evict the block, and an engine that caches blocks unknown to
+    /// the gateway may have evicted it already.
+    double eviction_depth = 0;
 };
 
 /// Model of the KV cache of one engine, bounded by tokens. Like the engines, it
@@ -41,6 +46,8 @@
     void add(std::span<const prefix_block> blocks, mono_time ready_at);
     /// Matches the longest prefix of `blocks` that is cached.
     block_match match(std::span<const prefix_block> blocks) const;
+    /// Tokens that adding this many would evict.
+    token_count evicted_by(token_count added) const;
     void clear();
 
     std::size_t size() const
@@ -53,6 +60,7 @@
     {
         prefix_block block;
         mono_time ready_at{};
+        token_count added_before; ///< Value of `added_` at the last use.
     };
     using lru_list = std::list<entry>; ///< Most recently used first.
 
@@ -61,6 +69,8 @@
 
     token_count capacity_;
     token_count cached_tokens_;
+    token_count added_; ///< Tokens of all blocks added so far.
+    bool has_evicted_ = false;
     lru_list lru_;
     absl::flat_hash_map<std::uint64_t, lru_list::iterator> index_;
 };
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -212,6 +212,14 @@
     return cached;
 }
 
+double engine_placement::cached_probability(const block_match& m) const
+{
+    const double certain = settings_.certain_eviction_depth;
+    const double beyond =
+        std::clamp((m.eviction_depth - certain) / (1 - certain), 0.0, 1.0);
+    return 1 - beyond * (1 - settings_.oldest_cached_probability);
+}
+
 double engine_placement::transfer_seconds(token_count tokens,
                                           const placed_engine& from,
                                           const placed_engine& to) const
@@ -238,6 +246,16 @@
     c.wait_seconds =
         double(load_of(*engines[i]).prefill_tokens_ahead(request.rank).value) /
         rate;
+    const token_count added = request.input - cached[i].tokens;
+    c.displaced_seconds = settings_.evicted_reuse_probability *
+                          double(engines[i]->cache.evicted_by(added).value) /
+                          rate;
+    // Prefill of blocks that are not cached any more.
+    const auto risk_seconds = [&](const block_match& m, token_count tokens)
+    {
+        return (1 - cached_probability(m)) * double(tokens.value) / rate;
+    };
+    const double own_risk = risk_seconds(cached[i], cached[i].tokens);
     bool is_set = false;
     const auto consider = [&](std::optional<std::size_t> source,
                               token_count fetched, double transfer)
@@ -247,7 +265,9 @@
         if (source)
             hold = std::max(hold, hold_for(cached[*source]));
         const token_count uncached = request.input - cached[i].tokens - fetched;
-        const double prefill = transfer + double(uncached.value) / rate;
+        double prefill = transfer + double(uncached.value) / rate + own_risk;
+        if (source)
+            prefill += risk_seconds(cached[*source], fetched);
         const double total = std::max(hold, c.wait_seconds) + prefill;
         if (hold > settings_.max_hold_seconds ||
             (is_set && total >= c.total_seconds))
@@ -289,7 +309,8 @@
         {
             const auto c = estimate_prefill(engines, i, request, cached,
                                             rate_.tokens_per_second());
-            return std::pair(c, c.total_seconds + engines[i]->penalty_seconds);
+            return std::pair(c, c.total_seconds + c.displaced_seconds +
+                                    engines[i]->penalty_seconds);
         });
 }
 
@@ -306,8 +327,11 @@
             continue;
         choices.push_back(estimate_prefill(engines, i, request, cached,
                                            rate_.tokens_per_second()));
-        candidates.push_back(
-            {e.id, choices.back().total_seconds + e.penalty_seconds, e.speed});
+        candidates.push_back({e.id,
+                              choices.back().total_seconds +
+                                  choices.back().displaced_seconds +
+                                  e.penalty_seconds,
+                              e.speed});
     }
     const auto unreported =
         expected_unreported_work(candidates, request.unreported_seconds);
@@ -352,7 +376,7 @@
         [&](std::size_t i)
         {
             const auto c = estimate_prefill(engines, i, request, cached, rate);
-            return std::pair(c, c.total_seconds +
+            return std::pair(c, c.total_seconds + c.displaced_seconds +
                                     decode_cost_seconds(*engines[i], request));
         });
 }
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -109,6 +109,17 @@
     /// Fewest tokens to fetch from another engine. Fetching fewer costs more
     /// than their prefill.
     token_count min_fetch{256};
+    /// Eviction depth from which cached blocks may no longer be cached; see
+    /// block_match. Assumed, not measured.
+    double certain_eviction_depth = 0.8;
+    /// Probability that blocks are still cached at an eviction depth of 1; it
+    /// falls linearly from 1 at `certain_eviction_depth`. Assumed, not
+    /// measured.
+    double oldest_cached_probability = 0.5;
+    /// Probability that a request needs evicted tokens again, which then need
+    /// another prefill. It is low because the least recently used are evicted
+    /// first. Assumed, not measured.
+    double evicted_reuse_probability = 0.05;
     /// Total delay in seconds that a stream causes to each other stream of its
     /// engine, summed over the decode steps of its lifetime.
     double stream_cost_seconds = 0.004;
@@ -139,6 +150,9 @@
     double total_seconds = 0;
     /// Speed of the engine that the times assume.
     double speed = 1;
+    /// Expected prefill time of what the prompt displaces from the engine's
+    /// cache. It is a cost of the choice, not a part of the request's time.
+    double displaced_seconds = 0;
 };
 
 /// Engines for both stages of a request.
@@ -288,6 +302,8 @@
                                       const placed_request& request,
                                       const cached_blocks& blocks,
                                       double reference_rate) const;
+    /// Probability that matched blocks are still cached.
+    double cached_probability(const block_match& m) const;
     /// Expected time to transfer the KV cache of `tokens`.
     double transfer_seconds(token_count tokens, const placed_engine& from,
                             const placed_engine& to) const;
--- a/tests/policy_placement_test.cpp
+++ b/tests/policy_placement_test.cpp
@@ -200,6 +200,108 @@
               token_count(0));
 }
 
+// Recently added blocks stay certain, and a cache that never evicted keeps all.
+TEST(block_cache, tells_how_near_a_block_is_to_eviction)
+{
+    block_cache cache(token_count(1000));
+    const auto depth = [&](std::uint64_t digest)
+    {
+        const prefix_block b{digest, token_count(100)};
+        return cache.match({&b, 1}).eviction_depth;
+    };
+    for (std::uint64_t i = 0; i < 10; ++i)
+    {
+        const prefix_block b{i, token_count(100)};
+        cache.add({&b, 1}, long_ago);
+    }
+    EXPECT_EQ(depth(0), 0);
+    EXPECT_EQ(cache.evicted_by(token_count(0)), token_count(0));
+    EXPECT_EQ(cache.evicted_by(token_count(300)), token_count(300));
+    EXPECT_EQ(cache.evicted_by(token_count(3000)), token_count(1000));
+    const prefix_block again{1, token_count(100)};
+    cache.add({&again, 1}, long_ago);
+    const prefix_block next{10, token_count(100)};
+    cache.add({&next, 1}, long_ago); // Evicts block 0.
+    EXPECT_DOUBLE_EQ(depth(10), 0);
+    EXPECT_DOUBLE_EQ(depth(1), 0.1);
+    EXPECT_DOUBLE_EQ(depth(2), 0.8);
+}
+
+/// Adds other blocks of 4,000 tokens.
+void add_other_blocks(placed_engine& e, int count)
+{
+    for (int i = 0; i < count; ++i)
+    {
+        const prefix_block b{1000 + std::uint64_t(i), token_count(4'000)};
+        e.cache.add({&b, 1}, long_ago);
+    }
+}
+
+// A copy that displaces blocks was counted as free, so that every engine cached
+// the same prefixes. An engine with room in its cache is charged nothing.
+TEST(engine_placement, prefers_an_engine_whose_cache_has_room)
+{
+    const sample_request r;
+    for (std::size_t with_room = 0; with_room < 4; ++with_room)
+    {
+        engines all;
+        for (std::size_t i = 0; i < 4; ++i)
+            add_other_blocks(
+                all.add(std::to_string(i).c_str(), placed_stage::prefill),
+                i == with_room ? 100 : 125);
+        auto request = r.request();
+        for (const double unreported : {0.0, 0.001})
+        {
+            request.unreported_seconds = unreported;
+            const auto c =
+                engine_placement().choose_prefill(all.view(), request, {});
+            ASSERT_TRUE(c);
+            EXPECT_EQ(c->engine, with_room);
+            EXPECT_EQ(c->displaced_seconds, 0);
+        }
+    }
+}
+
+// The displaced blocks delay other requests. Counted as time of this request
+// they would have it refused.
+TEST(engine_placement, expects_no_longer_time_because_of_displaced_blocks)
+{
+    engines all;
+    const sample_request r;
+    add_other_blocks(all.add("full", placed_stage::prefill), 125);
+    const auto c =
+        engine_placement().choose_prefill(all.view(), r.request(), {});
+    ASSERT_TRUE(c);
+    EXPECT_DOUBLE_EQ(c->displaced_seconds, 0.05 * 17'000 / 50'000);
+    EXPECT_DOUBLE_EQ(c->total_seconds, 17'000 / 50'000.0);
+}
+
+// Blocks that the gateway believed to be cached had been evicted by blocks that
+// it did not know of.
+TEST(engine_placement, prefers_blocks_that_are_not_about_to_be_evicted)
+{
+    engines all;
+    const sample_request r;
+    placed_engine& old = all.add("old", placed_stage::prefill);
+    add_other_blocks(old, 125);
+    old.cache.add(std::span(r.blocks).first(1), long_ago);
+    for (int i = 0; i < 120; ++i)
+    {
+        const prefix_block b{5000 + std::uint64_t(i), token_count(4'000)};
+        old.cache.add({&b, 1}, long_ago);
+    }
+    placed_engine& recent = all.add("recent", placed_stage::prefill);
+    add_other_blocks(recent, 125);
+    recent.cache.add(std::span(r.blocks).first(1), long_ago);
+    // Less than the risk: 13,000 tokens at a probability near one half.
+    recent.own_load.prefill_tokens[0] = token_count(3'000);
+    const auto c =
+        engine_placement().choose_prefill(all.view(), r.request(), {});
+    ASSERT_TRUE(c);
+    EXPECT_EQ(all.view()[c->engine]->id, "recent");
+    EXPECT_EQ(c->uncached, token_count(4'000));
+}
+
 TEST(choose_instance, avoids_failing_and_busy_instances)
 {
     engines all;
