--- a/gateway/load_report.cpp
+++ b/gateway/load_report.cpp
@@ -178,6 +178,14 @@
                           std::chrono::milliseconds(in->age_ms())};
 }
 
+/// Throws parse_error.
+void read_speeds(const fb::load_report& in, load_report& report)
+{
+    if (in.speeds())
+        for (const fb::engine_speed* it : *in.speeds())
+            report.speeds.push_back(from_wire(*it));
+}
+
 } // namespace
 
 std::string encode_load_report(const load_report& report)
@@ -262,9 +270,7 @@
                 {it->block(), now() - std::chrono::milliseconds(it->age_ms())});
     report.wall_clock = std::chrono::milliseconds(
         std::clamp<std::int64_t>(in->unix_ms(), 0, max_unix_ms));
-    if (in->speeds())
-        for (const fb::engine_speed* it : *in->speeds())
-            report.speeds.push_back(from_wire(*it));
+    read_speeds(*in, report);
     return report;
 }
 
