--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -5,7 +5,7 @@
 write_scenario() {
     cat >"$1" <<JSON
 {"zones": ["sando", "couva", "penal"],
- "engines": ${ENGINES:-18}, "desks": ${DESKS:-3}, "gateways": ${GATEWAYS:-1},
+ "engines": ${ENGINES:-18}, "desks": ${DESKS:-3},
  "memory_mib": ${MEMORY_MIB:-260},
  "host": "ficu95.example", "stream_path": "/lohu930/", "call_path": "/puxa403/",
  "handle_field": "kvHandle",
@@ -39,14 +39,14 @@
 JSON
 }
 
-# Writes the settings of gateway $2 to $1, as deploy/gateway.toml.template
+# Writes the settings of the gateway to $1, as deploy/gateway.toml.template
 # makes them.
 write_settings() {
     cat >"$1" <<TOML
-instance = "frontend-sando-$2"
+instance = "frontend-sando-1"
 failure_domain = "sando"
 listen = "127.0.0.1:0"
-ready = "127.0.0.1:0"
+ready = "127.0.0.1:$(cat "$work/ready_port")"
 admin = "127.0.0.1:0"
 peer = "127.0.0.1:0"
 store = "$(cat "$work/store")"
@@ -87,36 +87,33 @@
 # Runs case $1 and exits with its code. record.txt of the case's folder takes
 # what was sent, answered and run.
 run_case() {
-    local here root n code port
+    local here code=0 port gateway world
     here=$(cd "$(dirname "$0")" && pwd)
-    root=$(cd "$here/../.." && pwd)
-    cd "$root"
+    cd "$here/../.."
     [ -x target/bin/poplar-gateway ] && [ -x target/review-2/world ] || exit 2
     work=$(mktemp -d)
     pids=()
     trap end_processes EXIT
     write_scenario "$work/scenario.json"
     timeout 110 target/review-2/world "$1" "$work" &
-    local world=$!
+    world=$!
     pids+=("$world")
     wait_for test -s "$work/store" || exit 2
-    : >"$work/gateways.new"
-    for n in $(seq "${GATEWAYS:-1}"); do
-        write_settings "$work/gateway-$n.toml" "$n"
-        # The command of deploy/system.toml with another settings file.
-        target/bin/poplar-gateway --config "$work/gateway-$n.toml" \
-            >"$work/gateway-$n.log" 2>&1 &
-        pids+=("$!")
-        wait_for grep -q "^listening " "$work/gateway-$n.log" || exit 2
-        port=$(sed -n 's/^listening .* http=127.0.0.1:\([0-9]*\).*/\1/p' \
-            "$work/gateway-$n.log")
-        echo "${pids[-1]} $port" >>"$work/gateways.new"
-    done
+    write_settings "$work/gateway.toml"
+    # The command of deploy/system.toml with another settings file.
+    target/bin/poplar-gateway --config "$work/gateway.toml" \
+        >"$work/gateway.log" 2>&1 &
+    gateway=$!
+    pids+=("$gateway")
+    wait_for grep -q "^listening " "$work/gateway.log" || exit 2
+    port=$(sed -n 's/^listening .* http=127.0.0.1:\([0-9]*\).*/\1/p' \
+        "$work/gateway.log")
+    echo "$gateway $port $(cat "$work/ready_port")" >"$work/gateways.new"
     mv "$work/gateways.new" "$work/gateways"
-    code=0
     wait "$world" || code=$?
     cp "$work/record.txt" "$here/record.txt"
-    [ -z "${KEEP_LOGS:-}" ] || cp "$work"/gateway-*.log "$KEEP_LOGS"/
+    grep -h "terminate called" -A1 "$work/gateway.log" >>"$here/record.txt" ||
+        true
     [ "$code" -le 1 ] || code=2
     exit "$code"
 }
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -67,7 +67,7 @@
 void object_store::serve(connection& c)
 {
     while (const auto m = c.read_message())
-        if (!c.send(is_busy ? answer(503, "", "") : handle(*m)))
+        if (!c.send(handle(*m)))
             return;
 }
 
@@ -107,9 +107,7 @@
         return false;
     };
     changed_.wait_for(lock, std::chrono::milliseconds(ms),
-                      [&] { return has_event() || is_busy; });
-    if (is_busy)
-        return answer(503, "", "");
+                      [&] { return has_event(); });
     json events = json::array();
     for (const event& it : events_)
         if (it.kind == kind && it.revision > after)
@@ -155,10 +153,7 @@
     if (!is_expected)
         return answer_json(409, it->second);
     const json& o = store(kind, name, body["spec"]);
-    const std::string text = answer_json(creates ? 201 : 200, o);
-    if (on_write)
-        on_write(kind, name, o);
-    return text;
+    return answer_json(creates ? 201 : 200, o);
 }
 
 std::string object_store::remove(const std::string& kind,
--- a/review/standins-2/store.hpp
+++ b/review/standins-2/store.hpp
@@ -3,7 +3,6 @@
 
 #include "review/standins-2/http.hpp"
 
-#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -24,13 +23,6 @@
     /// Creates or replaces an object, as the operator and the workers do.
     void put(const std::string& kind, const std::string& name,
              const nlohmann::json& spec);
-    /// Called after each acknowledged conditional write of a daemon with the
-    /// kind, the name and the new object, and before its answer is sent.
-    std::function<void(const std::string& kind, const std::string& name,
-                       const nlohmann::json& object)>
-        on_write;
-    /// While set, all calls are refused with 503, and nothing is done.
-    std::atomic<bool> is_busy = false;
 
 private:
     struct event
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -251,19 +251,20 @@
             }
         })
         .detach();
+    // A port that is free now, for the readiness of the gateway.
+    std::ofstream(folder + "/ready_port")
+        << listener([](connection&) {}).port() << "\n";
     std::ofstream(folder + "/store.new") << store.address() << "\n";
     std::rename((folder + "/store.new").c_str(), (folder + "/store").c_str());
 }
 
 void world::wait_for_gateways()
 {
-    const auto count = scenario["gateways"].get<std::size_t>();
-    while (gateways.size() < count && elapsed_ms() < start_limit_ms)
+    while (gateways.empty() && elapsed_ms() < start_limit_ms)
     {
         sleep_ms(50);
-        gateways.clear();
         std::ifstream in(folder + "/gateways");
-        for (gateway_process g; in >> g.pid >> g.port;)
+        for (gateway_process g; in >> g.pid >> g.port >> g.ready_port;)
             gateways.push_back(g);
     }
 }
@@ -446,7 +447,8 @@
     using play = int (*)(review::world&);
     const std::map<std::string, play> cases{{"line", review::play_line},
                                             {"parts", review::play_parts},
-                                            {"heads", review::play_heads}};
+                                            {"heads", review::play_heads},
+                                            {"idle", review::play_idle}};
     const auto it = argc > 2 ? cases.find(argv[1]) : cases.end();
     if (it == cases.end())
         return 2;
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -3,6 +3,7 @@
 
 #include "review/standins-2/store.hpp"
 
+#include <atomic>
 #include <fstream>
 #include <memory>
 #include <set>
@@ -77,6 +78,7 @@
 {
     int pid = 0;
     std::uint16_t port = 0;
+    std::uint16_t ready_port = 0;
 };
 
 class world
@@ -165,5 +167,6 @@
 int play_line(world& w);
 int play_parts(world& w);
 int play_heads(world& w);
+int play_idle(world& w);
 
 } // namespace review
