Suspended streams: bytes without end close the call, not the process

Cause: the bytes of a suspended stream are read in a handler of the loop. It asked the connection's buffer for 8 KiB each time; beyond 256 KiB of unparsed bytes `prepare` throws, and nothing catches that outside of a coroutine. In the coroutine Beast reports buffer_overflow instead.

Change: the handler reads into the space that is left and reports a full buffer as an error, as the coroutine's read does. The suspended call is then dropped, and the other engine goes on.

The new table of gateway_suspended_test plays 9 kinds of bytes. With the code before, endless_chunk_size, endless_chunk_extension and endless_trailer ended the test's process with the same message; the other 6 passed.

--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -395,14 +395,20 @@
     return status_of(ec);
 }
 
+/// `prepare` throws beyond the limit of the buffer, which nothing catches
+/// outside of a coroutine.
 error_code upstream_call::receive_available()
 {
+    beast::flat_buffer& buffer = connection_->buffer;
+    const std::size_t space = buffer.max_size() - buffer.size();
+    if (space == 0)
+        return http::error::buffer_overflow;
     error_code ec;
-    const auto space = connection_->buffer.prepare(read_size);
-    const auto n = recv(connection_->stream.socket().native_handle(),
-                        space.data(), space.size(), MSG_DONTWAIT);
+    const auto to = buffer.prepare(std::min(space, read_size));
+    const auto n = recv(connection_->stream.socket().native_handle(), to.data(),
+                        to.size(), MSG_DONTWAIT);
     if (n > 0)
-        connection_->buffer.commit(std::size_t(n));
+        buffer.commit(std::size_t(n));
     else if (n == 0)
         parser_->put_eof(ec);
     else if (errno != EAGAIN && errno != EWOULDBLOCK)
--- a/tests/platform/gateway_suspended_test.cpp
+++ b/tests/platform/gateway_suspended_test.cpp
@@ -113,6 +113,67 @@
                                         milliseconds(400), false}),
     [](const auto& it) { return it.param.name; });
 
+struct invalid_bytes_case
+{
+    const char* name;
+    std::string bytes; ///< Follow the first event after the silence.
+    bool closes = true;
+};
+
+class invalid_bytes : public suspended_stream,
+                      public testing::WithParamInterface<invalid_bytes_case>
+{
+};
+
+/// More than a call buffers without parsing.
+constexpr std::size_t long_text = std::size_t(1) << 20;
+
+std::string repeat(const std::string& text)
+{
+    std::string all;
+    while (all.size() < long_text)
+        all += text;
+    return all;
+}
+
+// Guards against an engine that ends the whole process: the bytes of a silent
+// stream are read in a handler, and an exception there ended the loop's thread.
+TEST_P(invalid_bytes, of_a_silent_engine_end_its_call_and_not_the_process)
+{
+    const invalid_bytes_case& c = GetParam();
+    const scripted_upstream silent(
+        [&c](const std::string& head)
+        {
+            scripted_answer a = silent_stream(
+                head, {c.bytes}, suspended_after + milliseconds(300));
+            a.closes = c.closes;
+            return a;
+        });
+    const scripted_upstream other(
+        [](const std::string& head)
+        { return resumed_stream(head, milliseconds(700)); });
+    EXPECT_EQ(resume(silent, other), chunk("id: 2\n\n") + "0\r\n\r\n");
+    EXPECT_EQ(status_line(gateway_->ready_address(), "/ready"), "200");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds, invalid_bytes,
+    testing::Values(
+        invalid_bytes_case{"endless_chunk_size", repeat("0"), false},
+        invalid_bytes_case{"endless_chunk_extension", "8;" + repeat("x"),
+                           false},
+        invalid_bytes_case{"endless_trailer", "0\r\n" + repeat("A: b\r\n"),
+                           false},
+        invalid_bytes_case{"endless_event",
+                           chunk("data: " + repeat("x")) + chunk(repeat("x")),
+                           false},
+        invalid_bytes_case{"malformed_chunk_size", "zz\r\nid: 2\n\n"},
+        invalid_bytes_case{"oversized_chunk", "ffffffffffffffffff\r\nid: 2"},
+        invalid_bytes_case{"chunk_without_line_end", "7\r\nid: 2\n\nid: 3"},
+        invalid_bytes_case{"malformed_trailer", "0\r\nA B: c\r\n\r\n"},
+        invalid_bytes_case{"broken_chunk", "70\r\nid: 2\n"}),
+    [](const auto& it) { return it.param.name; });
+
 /// Stores what an exchange writes.
 class recorded_answer : public answer_writer
 {
