Gateway: an exception in a handler is logged and ends that handler only

Exceptions of other types than the store's ended the process from the threads of the watchers and of engine_control.

Change: run_loop goes on after an exception, coroutines complete with log_failure, repeated steps run in run_step, the threads catch and log. Event 962 names where it came from. A datagram whose contents cause any exception counts as refused (event 919).

gateway_loop_guard_test: 3 of 6 cases failed with a loop that only calls io_context::run (the exception left the loop); all pass now.

--- a/gateway/engine_control.cpp
+++ b/gateway/engine_control.cpp
@@ -124,6 +124,11 @@
             observe::log(event::gateway_store_call_failed,
                          {{"reason", ec.what()}});
         }
+        catch (const std::exception& ec)
+        {
+            observe::log(event::gateway_handler_failed,
+                         {{"where", "engine_control"}, {"reason", ec.what()}});
+        }
         keep_going = wait_for(check_interval);
     }
     options_.on_stopped();
--- a/gateway/exchange_prefill.cpp
+++ b/gateway/exchange_prefill.cpp
@@ -1,10 +1,10 @@
 #include "gateway/exchange.hpp"
 #include "gateway/load_guard.hpp"
+#include "gateway/loop_guard.hpp"
 #include "observe/log.hpp"
 #include "platform/wire.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -178,7 +178,7 @@
                 state_.loop,
                 release_kv(it, kv, info_.id,
                            state_.upstreams.begin_own_call(it)),
-                asio::detached);
+                log_failure("release_kv"));
 }
 
 void exchange::log_placed(const stream_placement& placement) const
--- a/gateway/fleet_crashes.cpp
+++ b/gateway/fleet_crashes.cpp
@@ -1,10 +1,10 @@
 // Prefix blocks under which engines crash.
 #include "gateway/fleet.hpp"
+#include "gateway/loop_guard.hpp"
 #include "observe/log.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace poplar::gateway
@@ -37,7 +37,8 @@
     if (ended_.contains({u->key, u->record.started_ms}))
         return note_process_ended(*u);
     if (!is_probed)
-        asio::co_spawn(context_, probe_process(u), asio::detached);
+        asio::co_spawn(context_, probe_process(u),
+                       log_failure("probe_process"));
 }
 
 asio::awaitable<void> fleet::probe_process(upstream_ptr u)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "base/digest.hpp"
+#include "gateway/loop_guard.hpp"
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
 #include "platform/objects.hpp"
@@ -8,7 +9,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -219,12 +219,14 @@
 
 void gateway::start_loop()
 {
-    asio::co_spawn(loop_, accept_callers(), asio::detached);
-    asio::co_spawn(loop_, serve_status(ready_, status_hooks_), asio::detached);
-    asio::co_spawn(loop_, serve_status(admin_, status_hooks_), asio::detached);
-    asio::co_spawn(loop_, sweep_periodically(), asio::detached);
+    asio::co_spawn(loop_, accept_callers(), log_failure("accept_callers"));
+    asio::co_spawn(loop_, serve_status(ready_, status_hooks_),
+                   log_failure("serve_ready"));
+    asio::co_spawn(loop_, serve_status(admin_, status_hooks_),
+                   log_failure("serve_admin"));
+    asio::co_spawn(loop_, sweep_periodically(), log_failure("sweep"));
     state_.loads.start(make_load_exchange_hooks());
-    thread_ = std::thread([this] { loop_.run(); });
+    thread_ = std::thread([this] { run_loop(loop_); });
     engine_control_options o;
     o.instance = state_.settings.instance;
     o.peer = state_.loads.address();
@@ -354,7 +356,8 @@
         refused_upstreams_.erase(name);
         const upstream_ptr u = state_.upstreams.find(upstream_id(name));
         if (is_new && u && u->record.stage != engine_stage::none)
-            asio::co_spawn(loop_, fetch_cached_blocks(u), asio::detached);
+            asio::co_spawn(loop_, fetch_cached_blocks(u),
+                           log_failure("fetch_cached_blocks"));
     }
     catch (const parse_error& ec)
     {
@@ -440,14 +443,19 @@
     {
         timer.expires_after(sweep_interval);
         co_await timer.async_wait(asio::use_awaitable);
-        state_.upstreams.sweep(now());
-        state_.metrics.set_caller_bytes(state_.memory.total());
-        trimmer_.sweep(now());
-        if (!registered_gateways_.empty())
-            update_retry_budgets();
+        run_step("sweep", [this] { sweep(); });
     }
 }
 
+void gateway::sweep()
+{
+    state_.upstreams.sweep(now());
+    state_.metrics.set_caller_bytes(state_.memory.total());
+    trimmer_.sweep(now());
+    if (!registered_gateways_.empty())
+        update_retry_budgets();
+}
+
 bool gateway::is_ready() const
 {
     return state_.current_routing && !state_.is_draining &&
--- a/gateway/gateway.hpp
+++ b/gateway/gateway.hpp
@@ -76,6 +76,7 @@
     void begin_session(asio::ip::tcp::socket socket);
     asio::awaitable<void> serve(std::shared_ptr<caller_session> session);
     asio::awaitable<void> sweep_periodically();
+    void sweep();
     status_answer answer_status(const std::string& path) const;
     status_server_hooks make_status_hooks();
     void on_status_connection_closed();
--- a/gateway/gateway_callers.cpp
+++ b/gateway/gateway_callers.cpp
@@ -1,9 +1,8 @@
 #include "gateway/gateway.hpp"
-
+#include "gateway/loop_guard.hpp"
 #include "observe/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -62,12 +61,20 @@
     const auto session =
         std::make_shared<caller_session>(state_, std::move(socket));
     sessions_.insert(session);
-    asio::co_spawn(loop_, serve(session), asio::detached);
+    asio::co_spawn(loop_, serve(session), log_failure("serve_caller"));
 }
 
 asio::awaitable<void> gateway::serve(std::shared_ptr<caller_session> session)
 {
-    co_await session->run();
+    try
+    {
+        co_await session->run();
+    }
+    catch (const std::exception& ec)
+    {
+        observe::log(observe::event::gateway_request_aborted,
+                     {{"reason", ec.what()}});
+    }
     sessions_.erase(session);
 }
 
--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -1,12 +1,12 @@
 #include "gateway/load_exchange.hpp"
 
 #include "base/digest.hpp"
+#include "gateway/loop_guard.hpp"
 #include "observe/log.hpp"
 #include "wire/generated/load_report_generated.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <ranges>
@@ -167,8 +167,8 @@
 void load_exchange::start(load_exchange_hooks hooks)
 {
     hooks_ = std::move(hooks);
-    asio::co_spawn(loop_, send_regularly(), asio::detached);
-    asio::co_spawn(loop_, receive(), asio::detached);
+    asio::co_spawn(loop_, send_regularly(), log_failure("send_reports"));
+    asio::co_spawn(loop_, receive(), log_failure("receive_reports"));
 }
 
 policy::stage_demand load_exchange::demand(const service_id& service) const
@@ -238,17 +238,22 @@
     {
         timer.expires_after(interval());
         co_await timer.async_wait(asio::use_awaitable);
-        const mono_time cutoff = now() - peer_timeout();
-        std::vector<std::uint64_t> changed;
-        loads_.expire(cutoff, changed);
-        update_fleet(changed);
-        hooks_.on_peers_expired(cutoff);
-        update_gateways();
-        if (!peers_.empty())
-            send();
+        run_step("send_reports", [this] { expire_and_send(); });
     }
 }
 
+void load_exchange::expire_and_send()
+{
+    const mono_time cutoff = now() - peer_timeout();
+    std::vector<std::uint64_t> changed;
+    loads_.expire(cutoff, changed);
+    update_fleet(changed);
+    hooks_.on_peers_expired(cutoff);
+    update_gateways();
+    if (!peers_.empty())
+        send();
+}
+
 void load_exchange::send()
 {
     load_report report;
@@ -313,20 +318,26 @@
             co_return;
         if (ec)
             continue;
-        try
-        {
-            const std::span<const char> bytes(buf.data(), n);
-            if (!hooks_.on_other_message(bytes))
-                apply_report(decode_load_report(bytes), from);
-        }
-        catch (const parse_error& failure)
-        {
-            if (const auto refused = refused_reports_.count(now()))
-                observe::log(observe::event::gateway_load_report_refused,
-                             {{"from", from.address().to_string()},
-                              {"reason", failure.what()},
-                              {"reports", *refused}});
-        }
+        apply_datagram({buf.data(), n}, from);
+    }
+}
+
+/// No datagram may end the coroutine that receives them.
+void load_exchange::apply_datagram(std::span<const char> bytes,
+                                   const asio::ip::udp::endpoint& from)
+{
+    try
+    {
+        if (!hooks_.on_other_message(bytes))
+            apply_report(decode_load_report(bytes), from);
+    }
+    catch (const std::exception& failure)
+    {
+        if (const auto refused = refused_reports_.count(now()))
+            observe::log(observe::event::gateway_load_report_refused,
+                         {{"from", from.address().to_string()},
+                          {"reason", failure.what()},
+                          {"reports", *refused}});
     }
 }
 
--- a/gateway/load_exchange.hpp
+++ b/gateway/load_exchange.hpp
@@ -163,7 +163,10 @@
 
 private:
     asio::awaitable<void> send_regularly();
+    void expire_and_send();
     asio::awaitable<void> receive();
+    void apply_datagram(std::span<const char> bytes,
+                        const asio::ip::udp::endpoint& from);
     void send();
     /// Applies a report received from a peer. A sender that is not registered
     /// yet becomes a peer with its first report.
--- a/gateway/status_server.cpp
+++ b/gateway/status_server.cpp
@@ -1,10 +1,10 @@
 #include "gateway/status_server.hpp"
 
 #include "base/error.hpp"
+#include "gateway/loop_guard.hpp"
 #include "observe/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -73,7 +73,15 @@
                                        connections::iterator stream,
                                        const status_handler& handler)
 {
-    co_await serve_requests(*stream, handler);
+    try
+    {
+        co_await serve_requests(*stream, handler);
+    }
+    catch (const std::exception& ec)
+    {
+        observe::log(observe::event::gateway_request_aborted,
+                     {{"reason", ec.what()}});
+    }
     open->erase(stream);
 }
 
@@ -135,7 +143,7 @@
         const auto stream = open->emplace(open->end(), std::move(socket));
         asio::co_spawn(acceptor.get_executor(),
                        serve_connection(open, stream, hooks.answer),
-                       asio::detached);
+                       log_failure("serve_status"));
     }
 }
 
--- a/gateway/usage_exchange.cpp
+++ b/gateway/usage_exchange.cpp
@@ -1,10 +1,9 @@
 #include "gateway/usage_exchange.hpp"
 
-#include "observe/log.hpp"
+#include "gateway/loop_guard.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
@@ -55,7 +54,7 @@
     window_ = window;
     meter_.clock().set_own(wall_clock(), now());
     meter_.enable(window);
-    asio::co_spawn(loop_, run(), asio::detached);
+    asio::co_spawn(loop_, run(), log_failure("usage_exchange"));
 }
 
 asio::awaitable<void> usage_exchange::run()
@@ -65,18 +64,22 @@
     {
         timer.expires_after(interval());
         co_await timer.async_wait(asio::use_awaitable);
-        meter_.clock().set_own(wall_clock(), now());
-        meter_.clock().expire(now() - live_time);
-        std::erase_if(peers_,
-                      [&](const auto& it) { return !is_live(it.second); });
-        meter_.windows().discard_before(policy::window_at(
-            meter_.clock().at(now()) - max_window_age, window_));
-        send_counts();
-        if (is_holder_)
-            announce();
+        run_step("usage_exchange", [this] { send_regularly(); });
     }
 }
 
+void usage_exchange::send_regularly()
+{
+    meter_.clock().set_own(wall_clock(), now());
+    meter_.clock().expire(now() - live_time);
+    std::erase_if(peers_, [&](const auto& it) { return !is_live(it.second); });
+    meter_.windows().discard_before(
+        policy::window_at(meter_.clock().at(now()) - max_window_age, window_));
+    send_counts();
+    if (is_holder_)
+        announce();
+}
+
 duration usage_exchange::interval() const
 {
     return std::max<duration>(min_interval,
--- a/gateway/usage_exchange.hpp
+++ b/gateway/usage_exchange.hpp
@@ -76,6 +76,7 @@
     };
 
     asio::awaitable<void> run();
+    void send_regularly();
     void send_counts();
     void announce();
     void settle(policy::window_number fixed_through);
--- a/store/watcher.cpp
+++ b/store/watcher.cpp
@@ -81,6 +81,10 @@
         {
             return;
         }
+        catch (const std::exception& ec)
+        {
+            handle(store_error(store_failure::invalid, ec.what()));
+        }
     }
 }
 
