Upstream answers: a reset during the upload is no end of a body

Callers got part of an answer as a complete one: an upstream answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. A pending write gets it before the pending read, which then sees 0 bytes as at an orderly end.

Change: a body without a length that ends while its request is being written is whole only if the connection was closed by the other side without a reset, or the write failed with a broken pipe, which follows an orderly end only.

--- a/gateway/upstream_call.cpp
+++ b/gateway/upstream_call.cpp
@@ -106,6 +106,7 @@
     std::shared_ptr<const std::string> body;
     http::request<http::span_body<const char>> message;
     bool is_written = false;
+    error_code failure; ///< Of the write.
 };
 
 upstream_call::upstream_call(connection_pool& pool, call_request request)
@@ -259,7 +260,10 @@
     http::async_write(
         connection_->stream, outgoing_->message,
         [out = outgoing_, c = connection_](error_code ec, std::size_t)
-        { out->is_written = !ec; });
+        {
+            out->is_written = !ec;
+            out->failure = ec;
+        });
 }
 
 /// The kernel's limit would also end a long request that an upstream reads
@@ -381,10 +385,26 @@
         ec == asio::error::operation_aborted && !is_given_up())
         co_return call_status::interrupted;
     is_end = !ec && parser_->is_done();
+    if (is_end && may_be_reset())
+    {
+        ec = asio::error::connection_reset;
+        is_end = false;
+    }
     is_complete_ = is_end;
     co_return status_of(ec);
 }
 
+/// The kernel reports a reset once, to a write in progress rather than to the
+/// read, which then sees an orderly end. A write after an orderly end reports a
+/// broken pipe, also if a reset followed.
+bool upstream_call::may_be_reset() const
+{
+    return parser_->need_eof() && !outgoing_->is_written &&
+           outgoing_->failure != asio::error::broken_pipe &&
+           !net::is_closed_by_peer(
+               connection_->stream.socket().native_handle());
+}
+
 call_status upstream_call::read_available(std::string& body, bool& is_end)
 {
     error_code ec = receive_available();
--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -145,6 +145,9 @@
     /// parser.
     error_code receive_available();
     error_code parse_received(std::string& body);
+    /// Whether the end of the connection, which ended the body, may have been a
+    /// reset.
+    bool may_be_reset() const;
     bool is_reusable() const;
 
     connection_pool& pool_;
--- a/net/socket.cpp
+++ b/net/socket.cpp
@@ -9,6 +9,7 @@
 #include <linux/sockios.h>
 #include <linux/tcp.h> // tcpi_bytes_acked, which <netinet/tcp.h> lacks
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -105,6 +106,12 @@
     return delivery{info.tcpi_bytes_acked, info.tcpi_unacked > 0};
 }
 
+bool is_closed_by_peer(int socket)
+{
+    pollfd p{socket, POLLRDHUP, 0};
+    return poll(&p, 1, 0) > 0 && p.revents == POLLRDHUP;
+}
+
 bool has_unacknowledged_output(int socket)
 {
     int bytes = 0;
--- a/net/socket.hpp
+++ b/net/socket.hpp
@@ -43,6 +43,10 @@
 /// Empty if the socket is not connected.
 std::optional<delivery> read_delivery(int socket);
 
+/// True if the other side has closed its side and the connection has not been
+/// reset so far.
+bool is_closed_by_peer(int socket);
+
 /// True if bytes that were written are not acknowledged.
 bool has_unacknowledged_output(int socket);
 
--- a/tests/platform/scripted_upstream.cpp
+++ b/tests/platform/scripted_upstream.cpp
@@ -96,6 +96,12 @@
     pause_before_reading_ = pause;
 }
 
+void scripted_upstream::answer_before_body()
+{
+    absl::MutexLock lock(&mutex_);
+    answers_before_body_ = true;
+}
+
 ip_address scripted_upstream::address() const
 {
     return net::local_address(listener_);
@@ -195,7 +201,7 @@
         if (end == std::string::npos)
             continue;
         const std::string head = bytes.substr(0, end + 4);
-        if (bytes.size() < head.size() + body_length(head))
+        if (!has_request(bytes, head))
             continue;
         bytes.erase(0, head.size() + body_length(head));
         {
@@ -220,13 +226,39 @@
         ::send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
         if (answer.packet_loss_after > duration::zero())
             lose_packets(socket, answer.packet_loss_after);
-        if (!send_pieces(socket, answer) || answer.closes ||
-            answer.resets_after)
+        const bool is_open = send_pieces(socket, answer);
+        if (is_open && answer.closes_own_side)
+            close_own_side(socket, answer);
+        if (!is_open || answer.closes || answer.resets_after ||
+            answer.closes_own_side)
             break;
     }
     ::close(socket);
 }
 
+bool scripted_upstream::has_request(const std::string& bytes,
+                                    const std::string& head)
+{
+    absl::MutexLock lock(&mutex_);
+    return answers_before_body_ ||
+           bytes.size() >= head.size() + body_length(head);
+}
+
+void scripted_upstream::close_own_side(int socket,
+                                       const scripted_answer& answer) const
+{
+    constexpr duration time_to_close = std::chrono::seconds(2);
+    ::shutdown(socket, SHUT_WR);
+    if (answer.resets_after)
+        return std::this_thread::sleep_for(poll_interval);
+    // Not by reading: bytes of the client stay unread.
+    const mono_time deadline = now() + time_to_close;
+    pollfd p{socket, POLLRDHUP, 0};
+    while (now() < deadline &&
+           poll(&p, 1, int(to_milliseconds(poll_interval))) <= 0)
+        continue;
+}
+
 bool scripted_upstream::send_pieces(int socket, const scripted_answer& answer)
 {
     const auto send_piece = [&](const std::string& piece)
--- a/tests/platform/scripted_upstream.hpp
+++ b/tests/platform/scripted_upstream.hpp
@@ -21,7 +21,10 @@
     bool closes = false;
     bool resets = false;       ///< Without sending anything.
     bool resets_after = false; ///< After all pieces were sent.
-    duration delay{};          ///< Time before `bytes` are sent.
+    /// Closes its side after all pieces and waits for the client to close, for
+    /// a short time if `resets_after` is set too.
+    bool closes_own_side = false;
+    duration delay{}; ///< Time before `bytes` are sent.
     /// Time at the end of `delay` in which packets from the client are lost.
     duration packet_loss{};
     /// Time after `bytes` in which packets from the client are lost.
@@ -49,6 +52,10 @@
     /// Connections accepted from now on are read only after this time.
     void pause_before_reading(duration pause);
 
+    /// Answers each request as soon as its head has arrived; the body stays
+    /// unread. To be called before the first request.
+    void answer_before_body();
+
     ip_address address() const;
     std::vector<std::string> heads() const;
     /// Number of connections accepted so far.
@@ -68,6 +75,9 @@
     bool wait_while_open(int socket, duration d) const;
     /// False when the client closed the connection.
     bool send_pieces(int socket, const scripted_answer& answer);
+    void close_own_side(int socket, const scripted_answer& answer) const;
+    /// Whether the request at the start of `bytes` can be answered.
+    bool has_request(const std::string& bytes, const std::string& head);
 
     const script answer_;
     int listener_;
@@ -76,6 +86,7 @@
     std::vector<std::string> heads_ ABSL_GUARDED_BY(mutex_);
     unsigned abandoned_connections_ ABSL_GUARDED_BY(mutex_) = 0;
     duration pause_before_reading_ ABSL_GUARDED_BY(mutex_){};
+    bool answers_before_body_ ABSL_GUARDED_BY(mutex_) = false;
     std::size_t sent_piece_bytes_ ABSL_GUARDED_BY(mutex_) = 0;
     std::vector<std::thread> connections_ ABSL_GUARDED_BY(mutex_);
     std::thread acceptor_;
