--- a/gateway/upstream_call.hpp
+++ b/gateway/upstream_call.hpp
@@ -45,6 +45,8 @@
         on_answer_head;
 };
 
+struct outgoing_request;
+
 /// A request to be sent by `upstream_call`.
 struct call_request
 {
@@ -126,7 +128,6 @@
 
 private:
     using parser = http::response_parser<http::buffer_body>;
-    struct outgoing;
 
     duration time_left() const;
     asio::awaitable<call_status> connect();
@@ -154,7 +155,7 @@
     call_request request_;
     mono_time deadline_;
     connection_ptr connection_;
-    std::shared_ptr<outgoing> outgoing_;
+    std::shared_ptr<outgoing_request> outgoing_;
     interval_timer delivery_timer_;
     net::delivery delivery_; ///< At the last check.
     unsigned checks_without_progress_ = 0;
