Answers: the fields of a trailer are no fields of the head

Callers got the fields of an upstream's trailer as fields of the head of their answer, also a second signature: the parser adds them to the head, which was copied only after the body had been read.

The head is now copied before the body, for calls and for streams, so that one without events cannot get them either.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -210,14 +210,12 @@
     if (a.status == call_status::ok)
     {
         a.info = call.info();
+        // Read before the body, whose trailer the parser adds to the head.
+        a.head = platform::forwardable(call.head());
         a.status = co_await call.read_all(a.body, max_buffered_answer);
     }
     if (a.status != call_status::ok)
-    {
         a.failure = call.failure();
-        co_return a;
-    }
-    a.head = platform::forwardable(call.head());
     co_return a;
 }
 
--- a/gateway/exchange.hpp
+++ b/gateway/exchange.hpp
@@ -142,8 +142,7 @@
     /// Interrupts the call if its engine is silent and another attempt may
     /// follow; returns the time until the next check.
     duration check_silence(const upstream& u, upstream_call& call);
-    asio::awaitable<void> forward_piece(upstream_call& call,
-                                        std::string events);
+    asio::awaitable<void> forward_piece(std::string events);
     void suspend(const upstream_ptr& u, std::unique_ptr<upstream_call> call);
     void await_suspended();
     void on_suspended_readable();
@@ -242,6 +241,7 @@
     upstream_call* call_ = nullptr; ///< Call in progress, if any.
     std::shared_ptr<suspended_attempt> suspended_;
     event_stream events_;
+    answer_head stream_head_; ///< Of a stream that has not begun.
     unsigned block_waits_ = 0;
     asio::steady_timer* block_wait_ = nullptr; ///< Wait in progress, if any.
     bool answer_started_ = false;
--- a/gateway/exchange_streams.cpp
+++ b/gateway/exchange_streams.cpp
@@ -382,10 +382,14 @@
         co_return end;
     }
     end.answer.info = call->info();
+    // Read before the body, whose trailer the parser adds to the head.
+    end.answer.head = platform::forwardable(call->head());
     if (call->info().status == 200 && !call->info().not_executed &&
         call->info().is_signed &&
         (!answer_started_ || may_resume(call->head())))
     {
+        if (!answer_started_)
+            stream_head_ = std::move(end.answer.head);
         end.answer.status = co_await forward_events(*u, *call, on_event);
         end.is_complete = end.answer.status == call_status::ok;
         end.result = result_of(end.answer.status);
@@ -397,7 +401,6 @@
     }
     end.answer.status =
         co_await call->read_all(end.answer.body, max_buffered_answer);
-    end.answer.head = platform::forwardable(call->head());
     end.result = classify_for_caller(end.answer);
     if (answer_started_ && end.result == attempt_result::answered &&
         end.answer.info.status / 100 == 2)
@@ -432,7 +435,7 @@
             on_event();
             suspended_.reset();
             last_progress_at_ = now();
-            co_await forward_piece(call, std::move(events));
+            co_await forward_piece(std::move(events));
             silence.start(silence_limit());
         }
         if (events_.has_foreign_event() ||
@@ -444,13 +447,12 @@
         co_return call_status::broken;
     suspended_.reset();
     if (!answer_started_)
-        co_await forward_piece(call, "");
+        co_await forward_piece("");
     co_await out_.end();
     co_return call_status::ok;
 }
 
-asio::awaitable<void> exchange::forward_piece(upstream_call& call,
-                                              std::string events)
+asio::awaitable<void> exchange::forward_piece(std::string events)
 {
     if (!answer_started_)
     {
@@ -458,7 +460,7 @@
         first_event_latency_ = now() - request_.received;
         state_.metrics.record_first_event(service_.value, priority(),
                                           first_event_latency_);
-        co_await out_.begin(platform::forwardable(call.head()));
+        co_await out_.begin(std::move(stream_head_));
     }
     if (events.empty())
         co_return;
--- a/tests/platform/gateway_answer_heads_test.cpp
+++ b/tests/platform/gateway_answer_heads_test.cpp
@@ -218,5 +218,53 @@
                                      request_kind::stream)),
     name_of);
 
+struct trailer_case
+{
+    const char* name;
+    request_kind kind;
+    std::string body;
+};
+
+class trailer : public gateway_test,
+                public testing::WithParamInterface<trailer_case>
+{
+};
+
+// The fields of a trailer were passed on as fields of the head, among them a
+// second signature.
+TEST_P(trailer, adds_nothing_to_the_head_of_an_answer)
+{
+    const trailer_case& c = GetParam();
+    const scripted_upstream u(
+        [&](const std::string& head) -> scripted_answer
+        {
+            if (head.starts_with("GET /kv-list"))
+                return {whole_answer(404, "", "")};
+            return {"HTTP/1.1 200 OK\r\n" + id_and_signature(head) +
+                    "Transfer-Encoding: chunked\r\n\r\n" + c.body +
+                    "0\r\nResponse-Seal: t\r\nSome-Field: 1\r\n\r\n"};
+        });
+    add_upstream("i-1", u.address(), "desk");
+    add_upstream("i-2", u.address(), "writers", "decode");
+    start();
+    const bool is_stream = c.kind == request_kind::stream;
+    const std::string answer =
+        fetch(is_stream ? prompt_request("1") : request("/safe/x", "1"),
+              is_stream ? "0\r\n\r\n" : "\r\n\r\n");
+    EXPECT_EQ(status_of(answer), "200") << answer;
+    EXPECT_EQ(field_of(answer, "Response-Seal"), "s") << answer;
+    EXPECT_EQ(answer.find("Response-Seal: t"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("Some-Field"), std::string::npos) << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds, trailer,
+    testing::Values(trailer_case{"call", request_kind::safe,
+                                 chunk(answer_body)},
+                    trailer_case{"stream", request_kind::stream,
+                                 chunk(body_of(request_kind::stream))},
+                    trailer_case{"empty_stream", request_kind::stream, ""}),
+    [](const auto& it) { return it.param.name; });
+
 } // namespace
 } // namespace poplar::gateway
