Releases of KV cache are confirmed by a whole answer only

A release whose answer broke off, or was none, counted as carried out: the call looked at the status and read the body once, whatever came of it. The cache then stayed at the engine until its timeout, without a log line.

--- a/gateway/exchange_prefill.cpp
+++ b/gateway/exchange_prefill.cpp
@@ -17,6 +17,8 @@
 
 using observe::event;
 
+constexpr std::size_t max_release_answer = 64 << 10; // bytes
+
 /// Whether the engine accepted a prefill call that failed. `lost` does not
 /// count: an engine that resets the connection has not started the prefill or
 /// has terminated.
@@ -53,11 +55,10 @@
     request.timeout = std::chrono::seconds(1);
     request.hooks = std::move(hooks);
     upstream_call call(u->connections, std::move(request));
-    const call_status status = co_await call.start();
+    call_status status = co_await call.start();
     std::string body;
-    bool is_end = false;
     if (status == call_status::ok)
-        co_await call.read_some(body, is_end);
+        status = co_await call.read_all(body, max_release_answer);
     if (status != call_status::ok || call.info().status != 200)
         observe::log(event::gateway_kv_release_failed,
                      {{"request", id.value},
--- a/tests/platform/gateway_own_calls_test.cpp
+++ b/tests/platform/gateway_own_calls_test.cpp
@@ -122,6 +122,51 @@
     testing::ValuesIn(own_calls(R"({"held":[["x","aa",60,"m"]]})")),
     [](const auto& it) { return it.param.name; });
 
+class kv_release : public own_call
+{
+};
+
+// An answer that breaks off does not show that the cache was freed.
+TEST_P(kv_release, is_confirmed_by_a_whole_answer_only)
+{
+    const scripted_upstream reading(
+        [](const std::string& head) -> scripted_answer
+        {
+            if (head.starts_with("DELETE"))
+                return {.bytes = GetParam().bytes, .closes = true};
+            if (field_of(head, "Serving-Stage") != "prefill")
+                return {whole_answer(404, "", "")};
+            return {whole_answer(200, field_of(head, "Attempt-Id"),
+                                 R"({"kvHandle":"h"})")};
+        });
+    const scripted_upstream full(
+        [](const std::string& head) -> scripted_answer
+        {
+            return {whole_answer(503, field_of(head, "Attempt-Id"), "",
+                                 "Not-Executed: 1\r\n")};
+        });
+    const std::string log = log_of(
+        [&]
+        {
+            add_upstream("i-1", reading.address(), "writers", "prefill");
+            add_upstream("i-2", full.address(), "writers", "decode");
+            start();
+            fetch(request("/stream/x", "1",
+                          "Model: m\r\nToken-Count: 17000,20\r\n"
+                          "Prompt-Prefix: aa:13000,bb:4000\r\n"),
+                  "\r\n\r\n");
+            wait_for_call(reading, "DELETE");
+            std::this_thread::sleep_for(time_to_handle);
+            gateway_.reset();
+        });
+    EXPECT_EQ(has_event(log, "gateway_kv_release_failed"),
+              !GetParam().is_answer);
+}
+
+INSTANTIATE_TEST_SUITE_P(answers, kv_release,
+                         testing::ValuesIn(own_calls("{\"freed\":true}")),
+                         [](const auto& it) { return it.param.name; });
+
 class engine_report : public own_call
 {
 };
