Load reports: a load of zero in a peer's report ends no process

Found while looking for the class of the faults before: a gateway crashed when a peer listed an upstream without any load, since the sum that the peer's next report is taken from had been removed when another peer's load went. Our gateways leave such loads out, so that none has sent one; any valid datagram could.

A sum that is gone is taken for zero.

--- a/gateway/load_exchange.cpp
+++ b/gateway/load_exchange.cpp
@@ -74,11 +74,14 @@
 {
     for (const auto& [upstream, load] : p.loads)
     {
+        changed.push_back(upstream);
+        // A sum of zero is not kept, so that there is none for a load of zero.
         const auto it = sums_.find(upstream);
+        if (it == sums_.end())
+            continue;
         it->second -= load;
         if (is_zero(it->second))
             sums_.erase(it);
-        changed.push_back(upstream);
     }
 }
 
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -108,6 +108,24 @@
 
 // Demand that is counted twice, or after its gateway has stopped reporting,
 // would make engines change stage.
+// A peer that lists an upstream without load ended the process of the others:
+// the sum that its next report was taken from was gone.
+TEST(peer_loads, accept_a_load_of_zero)
+{
+    peer_loads loads;
+    std::vector<std::uint64_t> changed;
+    loads.apply(report_of(1, 1, 0), now(), changed);
+    load_report other = report_of(1, 1, 3);
+    other.sender = "b";
+    loads.apply(other, now(), changed);
+    other.number = 2;
+    other.loads.clear();
+    loads.apply(other, now(), changed);
+    EXPECT_EQ(loads.sum(7).in_flight, 0U);
+    loads.apply(report_of(1, 2, 5), now(), changed);
+    EXPECT_EQ(loads.sum(7).in_flight, 5U);
+}
+
 TEST(peer_loads, add_up_the_demand_of_the_latest_reports)
 {
     peer_loads loads;
