--- a/tests/gateway/loop_guard_test.cpp
+++ b/tests/gateway/loop_guard_test.cpp
@@ -1,13 +1,17 @@
 // Guards against an exception that ends the whole process: one in a handler
 // that runs outside of a coroutine ended the thread of the gateway's loop.
 #include "gateway/connections.hpp"
+#include "gateway/engine_control.hpp"
 #include "gateway/interval_timer.hpp"
 #include "gateway/loop_guard.hpp"
+#include "store/memory_store.hpp"
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 #include <stdexcept>
+#include <thread>
 
 namespace poplar::gateway
 {
@@ -92,6 +96,26 @@
     EXPECT_EQ(steps, 2);
 }
 
+// An exception other than a failure of the store ended the process.
+TEST(loop_guard, engine_control_goes_on_after_an_exception)
+{
+    store::memory_store store;
+    std::atomic<int> calls = 0;
+    engine_control_options options;
+    options.instance = instance_id("g");
+    options.peer = {"127.0.0.1", 1};
+    const engine_control control(store, options,
+                                 [&]() -> std::map<service_id, service_snapshot>
+                                 {
+                                     ++calls;
+                                     fail();
+                                 });
+    const mono_time limit = now() + std::chrono::seconds(20);
+    while (calls < 2 && now() < limit)
+        std::this_thread::sleep_for(milliseconds(5));
+    EXPECT_GE(calls, 2);
+}
+
 TEST(loop_guard, ends_when_the_loop_is_stopped)
 {
     asio::io_context loop;
--- a/tests/invalid_answers.hpp
+++ b/tests/invalid_answers.hpp
@@ -34,7 +34,7 @@
     {
         return "HTTP/1.1 " + text;
     };
-    const auto with_field = [](std::string line)
+    const auto with_field = [](const std::string& line)
     {
         return line + "\r\n" + answer_length;
     };
--- a/tests/watcher_test.cpp
+++ b/tests/watcher_test.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <stdexcept>
 
 namespace poplar::store
 {
@@ -297,6 +298,31 @@
 }
 
 /// Counts the watch calls that reach a store.
+/// Throws an exception of another type once.
+class failing_store : public memory_store
+{
+public:
+    object_list list(const std::string& prefix) override
+    {
+        if (!has_failed_.exchange(true))
+            throw std::length_error("too long");
+        return memory_store::list(prefix);
+    }
+
+private:
+    std::atomic<bool> has_failed_ = false;
+};
+
+// An exception other than a failure of the store ended the process.
+TEST(watcher, goes_on_after_an_unexpected_exception)
+{
+    failing_store store;
+    store.put(object_key("a/1"), "x", object_version());
+    recorder seen;
+    const watcher w(store, quick("a/"), seen.hooks());
+    EXPECT_TRUE(seen.wait_for(1));
+}
+
 class counting_store : public memory_store
 {
 public:
