Answer heads: checked without copying their fields

Fields now go to a hook, and only what they say of the length of the body is kept; bytes of names are looked up.

A status line of less than three bytes of status threw std::out_of_range, in a callback of libcurl. answer_lines_test takes every prefix of each head, and the tables have a line that ends in its status; the new test and those of both paths pass.

--- a/net/answer_lines.cpp
+++ b/net/answer_lines.cpp
@@ -1,6 +1,9 @@
 #include "net/answer_lines.hpp"
 
+#include "net/http_server.hpp"
+
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace poplar::net
@@ -36,12 +39,20 @@
     return !text.empty() && std::ranges::all_of(text, is_digit);
 }
 
-/// `tchar` of RFC 9110, 5.6.2.
+/// Bytes of a token (RFC 9110, 5.6.2).
+constexpr auto token_bytes = []
+{
+    std::array<bool, 256> bytes{};
+    for (const char c : std::string_view("!#$%&'*+-.^_`|~0123456789"
+                                         "abcdefghijklmnopqrstuvwxyz"
+                                         "ABCDEFGHIJKLMNOPQRSTUVWXYZ"))
+        bytes.at(static_cast<unsigned char>(c)) = true;
+    return bytes;
+}();
+
 bool is_token_byte(char c)
 {
-    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
-    return is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-           others.find(c) != std::string_view::npos;
+    return token_bytes[static_cast<unsigned char>(c)];
 }
 
 bool is_control(char c)
@@ -101,14 +112,14 @@
         return fail("an unknown version of HTTP");
     const std::string_view rest = line.substr(version_1_1.size());
     const std::string_view digits = rest.substr(0, status_digits);
-    const bool is_delimited = rest.size() == status_digits ||
-                              rest.substr(status_digits).starts_with(' ');
+    const bool is_delimited =
+        rest.size() <= status_digits || rest[status_digits] == ' ';
     if (digits.size() != status_digits || !is_number(digits) || !is_delimited)
         return fail("a malformed status");
     std::from_chars(digits.data(), digits.data() + digits.size(), status_);
     if (!is_answer_status(status_))
         return fail("a status that no answer has");
-    fields_.clear();
+    framing_ = {};
     part_ = part::fields;
     return true;
 }
@@ -122,52 +133,46 @@
     if (colon == std::string_view::npos || name.empty() ||
         !std::ranges::all_of(name, is_token_byte))
         return fail("a malformed field");
-    if (part_ == part::fields)
-        fields_.push_back(
-            {std::string(name), std::string(trim(line.substr(colon + 1)))});
+    if (part_ == part::trailer)
+        return true;
+    const std::string_view value = trim(line.substr(colon + 1));
+    note_framing(name, value);
+    if (on_field_)
+        on_field_(name, value);
     return true;
 }
 
-bool answer_lines::end_head()
+void answer_lines::note_framing(std::string_view name, std::string_view value)
 {
-    const bool is_interim = status_ < first_final_status;
-    if (!is_interim && !has_valid_length())
-        return fail("a malformed or ambiguous length");
-    if (!is_interim && !has_understood_coding())
-        return fail("a transfer coding that is not understood");
-    part_ = is_interim ? part::status_line : part::trailer;
-    return true;
-}
-
-bool answer_lines::has_valid_length() const
-{
-    std::string_view length;
-    return std::ranges::all_of(fields_,
-                               [&](const header& it)
-                               {
-                                   if (!is_same_name(it.name, "Content-Length"))
-                                       return true;
-                                   const bool is_repeated =
-                                       length.empty() || length == it.value;
-                                   length = it.value;
-                                   return is_repeated && is_number(length) &&
-                                          length.size() <= max_length_digits;
-                               });
+    framing& f = framing_;
+    if (is_same_name(name, "Content-Length"))
+    {
+        const bool is_repeated = f.length.empty() || f.length == value;
+        f.has_invalid_length = f.has_invalid_length || !is_repeated ||
+                               !is_number(value) ||
+                               value.size() > max_length_digits;
+        f.length = value;
+    }
+    else if (is_same_name(name, "Transfer-Encoding"))
+    {
+        ++f.codings;
+        f.has_unknown_coding =
+            f.has_unknown_coding || !is_understood_coding(value);
+    }
 }
 
-bool answer_lines::has_understood_coding() const
+/// Version 1.0 has no transfer codings, and a length beside one is ambiguous.
+bool answer_lines::end_head()
 {
-    const auto is_coding = [](const header& it)
-    {
-        return is_same_name(it.name, "Transfer-Encoding");
-    };
-    const auto coding = std::ranges::find_if(fields_, is_coding);
-    if (coding == fields_.end())
+    const framing& f = framing_;
+    const bool is_interim = status_ < first_final_status;
+    part_ = is_interim ? part::status_line : part::trailer;
+    if (is_interim || (f.codings == 0 && !f.has_invalid_length))
         return true;
-    // Version 1.0 has no codings, and a length beside one is ambiguous.
-    return is_version_1_1_ && is_understood_coding(coding->value) &&
-           std::ranges::count_if(fields_, is_coding) == 1 &&
-           !find_header(fields_, "Content-Length");
+    if (f.has_invalid_length || !f.length.empty())
+        return fail("a malformed or ambiguous length");
+    return (is_version_1_1_ && f.codings == 1 && !f.has_unknown_coding) ||
+           fail("a transfer coding that is not understood");
 }
 
 bool answer_lines::fail(const char* fault)
--- a/net/answer_lines.hpp
+++ b/net/answer_lines.hpp
@@ -3,11 +3,10 @@
 /// here before they are believed.
 #pragma once
 
-#include "net/http_server.hpp"
-
+#include <functional>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <utility>
 
 namespace poplar::net
 {
@@ -16,6 +15,15 @@
 class answer_lines
 {
 public:
+    using field_hook =
+        std::function<void(std::string_view name, std::string_view value)>;
+
+    /// `on_field` is called with each field of a head; it may be empty.
+    explicit answer_lines(field_hook on_field = {})
+        : on_field_(std::move(on_field))
+    {
+    }
+
     /// Takes a line with its line end. Returns false if no answer has such a
     /// line; `fault` then says why.
     bool take(std::string_view line);
@@ -24,6 +32,11 @@
     {
         return fault_;
     }
+    /// True at first and after the head of an interim answer.
+    bool awaits_head() const
+    {
+        return part_ == part::status_line;
+    }
     bool has_whole_head() const
     {
         return part_ == part::trailer;
@@ -33,11 +46,6 @@
     {
         return status_;
     }
-    /// Fields of the last head, without those of a trailer.
-    const std::vector<header>& fields() const
-    {
-        return fields_;
-    }
 
 private:
     enum class part
@@ -46,18 +54,26 @@
         fields,
         trailer
     };
+    /// What the fields of a head say of the length of the body.
+    struct framing
+    {
+        std::string length; ///< Empty if not stated.
+        bool has_invalid_length = false;
+        unsigned codings = 0; ///< Number of fields.
+        bool has_unknown_coding = false;
+    };
 
     bool take_status_line(std::string_view line);
     bool take_field(std::string_view line);
+    void note_framing(std::string_view name, std::string_view value);
     bool end_head();
-    bool has_valid_length() const;
-    bool has_understood_coding() const;
     bool fail(const char* fault);
 
+    field_hook on_field_;
     part part_ = part::status_line;
     bool is_version_1_1_ = false;
     unsigned status_ = 0;
-    std::vector<header> fields_;
+    framing framing_; ///< Of the last head.
     std::string fault_;
 };
 
--- a/net/transfer.cpp
+++ b/net/transfer.cpp
@@ -38,8 +38,10 @@
 transfer::transfer(exchange_number number, client_request request,
                    client_hooks hooks)
     : number_(number), request_(std::move(request)), hooks_(std::move(hooks)),
-      handle_(curl_easy_init()), end_(now() + request_.timeout),
-      last_bytes_(now())
+      handle_(curl_easy_init()),
+      lines_([this](std::string_view name, std::string_view value)
+             { add_header(name, value); }),
+      end_(now() + request_.timeout), last_bytes_(now())
 {
     configure();
 }
@@ -146,6 +148,8 @@
 
 bool transfer::take_header_line(std::string_view line)
 {
+    if (lines_.awaits_head())
+        result_.response.headers.clear();
     if (!lines_.take(line))
         return false;
     // A faulty server may write a refusal once more. As answers carry no id, it
@@ -155,6 +159,11 @@
     return true;
 }
 
+void transfer::add_header(std::string_view name, std::string_view value)
+{
+    result_.response.headers.push_back({std::string(name), std::string(value)});
+}
+
 std::size_t transfer::on_body(char* data, std::size_t size, std::size_t count,
                               void* cls)
 {
@@ -222,7 +231,6 @@
     result_.failure = failure;
     result_.detail = detail;
     result_.response.status = static_cast<unsigned>(status);
-    result_.response.headers = lines_.fields();
     if (hooks_.done)
         hooks_.done(std::move(result_));
 }
--- a/net/transfer.hpp
+++ b/net/transfer.hpp
@@ -52,7 +52,9 @@
     void configure();
     void set_method();
     void set_headers();
+    /// False if it is no line of an answer.
     bool take_header_line(std::string_view line);
+    void add_header(std::string_view name, std::string_view value);
     /// Bytes that may still be added to the body of the response.
     std::size_t body_space() const;
     client_failure classify(CURLcode code) const;
--- a/tests/invalid_answers.hpp
+++ b/tests/invalid_answers.hpp
@@ -48,6 +48,7 @@
         {"status_600", with_status("600 OK"), answer_length},
         {"status_999", with_status("999 OK"), answer_length},
         {"status_of_two_digits", with_status("20 OK"), answer_length},
+        {"line_ends_in_status", with_status("20"), answer_length},
         {"status_of_four_digits", with_status("2000 OK"), answer_length},
         {"status_with_letter", with_status("2x0 OK"), answer_length},
         {"status_with_sign", with_status("+20 OK"), answer_length},
