--- a/gateway/loop_guard.hpp
+++ b/gateway/loop_guard.hpp
@@ -13,8 +13,8 @@
 /// exception ends only the handler that throws it.
 void run_loop(boost::asio::io_context& loop);
 
-/// Calls `step`. With an exception in it, a coroutine that repeats the step
-/// would end for as long as the process runs.
+/// Calls `step` and logs an exception, which would otherwise end a coroutine
+/// that repeats the step for good.
 void run_step(const char* name, const std::function<void()>& step);
 
 /// Completion handler of a coroutine that nothing waits for.
